--- /dev/null
+++ b/crates/agent/src/control_loop.rs
@@ -0,0 +1,132 @@
+//! Carries out the control state's actions.
+
+use std::collections::HashMap;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use vanillacleat_control::agent::{AgentAction, AgentControl, AgentEvent};
+use vanillacleat_control::SessionId;
+use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::units::MonoTime;
+use vanillacleat_daemon::{ControlStep, EventSender};
+
+use crate::sessions::{dial_entry, SessionWriter};
+use crate::upstream_calls::UpstreamCaller;
+
+/// Time given to the last frames before a drained agent exits.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// An `AgentInput` is what the control thread takes.
+#[derive(Debug)]
+pub(crate) enum AgentInput {
+    /// An event for the control state.
+    Event(AgentEvent),
+    /// A session's writer, before the session's first event.
+    Opened(SessionId, SessionWriter),
+    /// A request for the state.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// The daemon is dropped.
+    Stop,
+}
+
+/// An `EventOutlet` is where traffic tasks hand their events, once the control thread runs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EventOutlet {
+    sender: Arc<OnceLock<EventSender<AgentInput>>>,
+}
+
+impl EventOutlet {
+    pub(crate) fn set(&self, sender: EventSender<AgentInput>) {
+        let _ = self.sender.set(sender);
+    }
+
+    pub(crate) fn send(&self, input: AgentInput) {
+        if let Some(sender) = self.sender.get() {
+            sender.send(input);
+        }
+    }
+}
+
+/// A `ControlLoop` owns the control state and everything that its actions need.
+pub(crate) struct ControlLoop {
+    control: AgentControl,
+    name: AgentId,
+    outlet: EventOutlet,
+    traffic: Handle,
+    upstreams: UpstreamCaller,
+    writers: HashMap<SessionId, SessionWriter>,
+    next_session: u64,
+}
+
+impl ControlLoop {
+    pub(crate) fn new(control: AgentControl, name: AgentId, connections: u32, traffic: Handle) -> Self {
+        let outlet = EventOutlet::default();
+        let upstreams = UpstreamCaller::new(outlet.clone(), connections as usize);
+        Self { control, name, outlet, traffic, upstreams, writers: HashMap::new(), next_session: 0 }
+    }
+
+    pub(crate) fn event_outlet(&self) -> EventOutlet {
+        self.outlet.clone()
+    }
+
+    pub(crate) fn step(&mut self, now: MonoTime, input: AgentInput) -> ControlStep {
+        let event = match input {
+            AgentInput::Event(event) => event,
+            AgentInput::Opened(session, writer) => {
+                self.writers.insert(session, writer);
+                return ControlStep::Continue;
+            }
+            AgentInput::Dump(reply) => {
+                let _ = reply.send(self.control.dump());
+                return ControlStep::Continue;
+            }
+            AgentInput::Stop => return ControlStep::Stop,
+        };
+        if let AgentEvent::SessionGone { session: Some(session), .. } = &event {
+            self.writers.remove(session);
+        }
+        let is_tick = matches!(event, AgentEvent::Tick);
+        let actions = self.control.handle(now, event);
+        let is_drained = actions.iter().any(|action| matches!(action, AgentAction::Drained));
+        actions.into_iter().for_each(|action| self.carry_out(action));
+        if is_tick {
+            self.publish();
+        }
+        if is_drained {
+            std::thread::sleep(FLUSH_TIME);
+            log::info!("event=agent_drained agent={}", self.name);
+            return ControlStep::Stop;
+        }
+        ControlStep::Continue
+    }
+
+    fn carry_out(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Dial(address) => {
+                self.next_session += 1;
+                let session = SessionId(self.next_session);
+                self.traffic.spawn(dial_entry(session, address, self.outlet.clone()));
+            }
+            AgentAction::Send { session, envelope } => {
+                let is_sent = self.writers.get(&session).is_some_and(|writer| writer.try_send(envelope));
+                if !is_sent {
+                    self.writers.remove(&session);
+                }
+            }
+            AgentAction::Close(session) => drop(self.writers.remove(&session)),
+            AgentAction::Start(order) => drop(self.traffic.spawn(self.upstreams.clone().run_task(order))),
+            AgentAction::Drained => {}
+        }
+    }
+
+    fn publish(&self) {
+        let gate = self.control.gate();
+        let label = || self.name.to_string();
+        metrics::gauge!("agent_tasks_running", "agent" => label()).set(gate.running());
+        metrics::gauge!("agent_tasks_queued", "agent" => label()).set(gate.queued() as f64);
+        metrics::gauge!("agent_tasks_remembered", "agent" => label()).set(gate.remembered().0 as f64);
+        metrics::counter!("agent_tasks_started_total", "agent" => label()).absolute(self.control.started());
+    }
+}
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,36 @@
+//! The agent daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use error_stack::Report;
+use vanillacleat_agent::AgentDaemon;
+use vanillacleat_core::settings::AgentSettings;
+use vanillacleat_daemon::{init_logging, load_settings, DaemonError};
+
+/// Runs the agent beside an upstream.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct AgentCommand {
+    /// Settings file in TOML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+fn run(command: &AgentCommand) -> Result<(), Report<DaemonError>> {
+    let settings = load_settings(&command.settings, AgentSettings::check)?;
+    AgentDaemon::start(&settings)?.run()
+}
+
+fn main() -> ExitCode {
+    let command = agent_command().run();
+    init_logging();
+    match run(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!("event=agent_failed cause={report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/agent/session_view.rs
@@ -0,0 +1,65 @@
+//! What an agent knows of its session with one entry.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use smol_str::SmolStr;
+use vanillacleat_core::frames::{FreshnessAsk, LoadReport};
+use vanillacleat_core::ids::HomeKey;
+use vanillacleat_core::units::{MonoTime, Revision};
+
+/// Questions that may be unanswered on one session.
+const QUESTIONS_KEPT: usize = 8;
+
+/// A `SessionView` is what an agent knows of one session.
+#[derive(Debug)]
+pub(super) struct SessionView {
+    pub(super) address: SmolStr,
+    pub(super) entry: Option<HomeKey>,
+    pub(super) wanted: Option<Revision>,
+    pub(super) echoed: u64,
+    pub(super) told_load: Option<LoadReport>,
+    questions: VecDeque<(u64, MonoTime)>,
+    asked_at: Option<MonoTime>,
+    pub(super) heard_at: MonoTime,
+}
+
+impl SessionView {
+    pub(super) fn new(now: MonoTime, address: SmolStr) -> Self {
+        Self { address, entry: None, wanted: None, echoed: 0, told_load: None, questions: VecDeque::new(), asked_at: None, heard_at: now }
+    }
+
+    pub(super) fn is_ask_due(&self, now: MonoTime, period: Duration) -> bool {
+        self.asked_at.is_none_or(|at| now.since(at) >= period)
+    }
+
+    /// Returns the next question; it carries the load only if that has changed since it was last told.
+    pub(super) fn make_ask(&mut self, now: MonoTime, nonce: u64, is_settled: bool, load: LoadReport) -> FreshnessAsk {
+        self.asked_at = Some(now);
+        self.questions.push_back((nonce, now));
+        if self.questions.len() > QUESTIONS_KEPT {
+            self.questions.pop_front();
+        }
+        let is_news = self.told_load.as_ref() != Some(&load);
+        let load = is_news.then_some(load);
+        if load.is_some() {
+            self.told_load.clone_from(&load);
+        }
+        FreshnessAsk { nonce, echoed: self.echoed, is_settled, load }
+    }
+
+    /// Returns when the question `nonce` was sent, once.
+    pub(super) fn take_question(&mut self, nonce: u64) -> Option<MonoTime> {
+        let index = self.questions.iter().position(|(asked, _)| *asked == nonce)?;
+        self.questions.remove(index).map(|(_, at)| at)
+    }
+
+    pub(super) fn dump(&self) -> Value {
+        json!({
+            "address": self.address,
+            "entry": self.entry.as_ref().map(ToString::to_string),
+            "questions_open": self.questions.len(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/entry/dump.rs
@@ -0,0 +1,35 @@
+//! The dump of an entry's state.
+
+use serde_json::{json, Value};
+
+use super::EntryControl;
+
+impl EntryControl {
+    /// Returns the entry's whole state, with sizes in place of long lists.
+    pub fn dump(&self) -> Value {
+        json!({
+            "home": self.home().to_string(),
+            "zone": self.zone,
+            "now": self.now.to_string(),
+            "draining": self.is_draining,
+            "drain_step": self.drain_step,
+            "ownership_proven": self.is_proven(),
+            "config": self.config.value(),
+            "config_behind": self.config.is_behind(),
+            "platform_failing": self.pacer.is_failing(),
+            "platform_calls_open": self.platform_ops.len(),
+            "agents": self.fleet.agents().collect::<Vec<_>>(),
+            "peers": self.peers.dump(),
+            "owned_homes": self.ledger.owned_homes().map(|(home, generation)| json!({"home": home.to_string(), "generation": generation})).collect::<Vec<_>>(),
+            "adoptions": self.dump_adoptions(),
+            "open_breakers": self.breakers.open_breakers().iter().map(|(service, agent)| format!("{service}@{agent}")).collect::<Vec<_>>(),
+            "jobs_open": self.ledger.open_jobs(),
+            "jobs_remembered": self.ledger.remembered_jobs(),
+            "tasks_waiting": self.ledger.waiting_tasks(),
+            "answer_bytes_kept": self.ledger.kept_bytes(),
+            "calls_parked": self.parked.len(),
+            "calls_forwarded": self.forwarded.len(),
+            "counters": self.counters,
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/entry/peers.rs
@@ -0,0 +1,412 @@
+//! The other entries: heartbeats, what each owns and uses, and the hand-over when this entry leaves.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+use vanillacleat_core::config::ConfigValue;
+use vanillacleat_core::frames::{Envelope, HomeFence, HomeHandover, PeerCall, PeerGossip, PeerReply};
+use vanillacleat_core::ids::{EntryId, HomeKey, TeamName, WorkerKey};
+use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
+use vanillacleat_core::units::MonoTime;
+
+use super::platform::{EntryPresence, HomeClaim, PendingOp, PlatformOp, PlatformReply, StoreVersion};
+use super::routing::TicketCall;
+use super::{EntryAction, EntryControl};
+use crate::{CallId, ReplyId};
+
+/// Time between two heartbeats to one peer.
+pub const GOSSIP_PERIOD: Duration = Duration::from_millis(500);
+/// Time without a heartbeat from which a peer counts as lost and its home may be adopted.
+pub const PEER_SILENCE_MAX: Duration = Duration::from_secs(3);
+/// Time after an answered heartbeat in which the peer certainly has not adopted this entry's homes.
+const OWNERSHIP_LIFETIME: Duration = Duration::from_millis(2_500);
+/// Longest time between two renewals of the own key after which other entries may have counted this one as gone.
+const PRESENCE_GAP_MAX: Duration = Duration::from_secs(10);
+/// Time after its start in which an entry adopts no home that it never heard of, so that its owner sees it come.
+const ARRIVAL_WAIT: Duration = Duration::from_secs(12);
+
+/// A `PeerView` is what this entry knows of another.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct PeerView {
+    home: Option<HomeKey>,
+    is_draining: bool,
+    is_present: bool,
+    heard_at: Option<MonoTime>,
+    known_at: MonoTime,
+    next_at: MonoTime,
+    pending: Option<(CallId, MonoTime, u64)>,
+    told_version: u64,
+    acked_version: u64,
+    promised_at: Option<MonoTime>,
+    owned: Vec<HomeFence>,
+    workers: Option<Vec<WorkerKey>>,
+}
+
+impl PeerView {
+    fn new(now: MonoTime) -> Self {
+        Self {
+            home: None,
+            is_draining: false,
+            is_present: false,
+            heard_at: None,
+            known_at: now,
+            next_at: now,
+            pending: None,
+            told_version: 0,
+            acked_version: 0,
+            promised_at: None,
+            owned: Vec::new(),
+            workers: None,
+        }
+    }
+
+    fn is_live(&self, now: MonoTime) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < PEER_SILENCE_MAX)
+    }
+
+    /// Returns whether the peer might adopt this entry's homes: it is present, or was heard and is not known to be gone.
+    fn may_adopt(&self, now: MonoTime) -> bool {
+        !self.is_draining && self.home.is_some() && (self.is_present || self.is_live(now))
+    }
+
+    fn owns(&self, home: &HomeKey) -> bool {
+        self.home.as_ref() == Some(home) || self.owned.iter().any(|fence| fence.home == *home)
+    }
+}
+
+/// A `PeerBook` holds the other entries by address.
+#[derive(Debug)]
+pub(super) struct PeerBook {
+    own_address: SmolStr,
+    peers: BTreeMap<SmolStr, PeerView>,
+    claims: BTreeMap<HomeKey, SmolStr>,
+    announced_at: Option<MonoTime>,
+    first_announced_at: Option<MonoTime>,
+}
+
+impl PeerBook {
+    pub(super) fn new(own_address: SmolStr, seeds: Vec<SmolStr>) -> Self {
+        let others = seeds.into_iter().filter(|seed| *seed != own_address);
+        let peers = others.map(|seed| (seed, PeerView::new(MonoTime::ZERO))).collect();
+        Self { own_address, peers, claims: BTreeMap::new(), announced_at: None, first_announced_at: None }
+    }
+
+    /// Takes the store's list of entries, read by a question sent at `asked_at`.
+    pub(super) fn note_presences(&mut self, now: MonoTime, asked_at: MonoTime, entries: Vec<EntryPresence>) {
+        let is_gapped = self.announced_at.is_none_or(|at| now.since(at) > PRESENCE_GAP_MAX);
+        if is_gapped {
+            // Others may have counted this entry as gone and used agents without telling it.
+            self.peers.values_mut().for_each(|peer| peer.workers = None);
+        }
+        self.announced_at = Some(now);
+        self.first_announced_at.get_or_insert(now);
+        for peer in self.peers.values_mut() {
+            peer.is_present &= peer.heard_at.is_some_and(|at| at >= asked_at);
+        }
+        for presence in entries.into_iter().filter(|presence| presence.address != self.own_address) {
+            let peer = self.peers.entry(presence.address).or_insert_with(|| PeerView::new(now));
+            peer.is_present = true;
+            peer.home.get_or_insert(presence.home);
+        }
+    }
+
+    /// Returns the own place among the live entries in order of their names, and their number.
+    pub(super) fn rank(&self, own: &EntryId, now: MonoTime) -> (usize, usize) {
+        let live = self.live(now).filter_map(|(_, peer)| peer.home.as_ref());
+        let (before, count) = live.fold((0, 1), |(before, count), home| (before + usize::from(home.entry < *own), count + 1));
+        (before, count)
+    }
+
+    pub(super) fn live_count(&self, now: MonoTime) -> usize {
+        self.live(now).count()
+    }
+
+    pub(super) fn addresses(&self, now: MonoTime) -> Vec<SmolStr> {
+        let usable = self.peers.iter().filter(|(_, peer)| peer.is_present || peer.is_live(now));
+        usable.map(|(address, _)| address.clone()).collect()
+    }
+
+    /// Returns where the live owner of `home` listens.
+    pub(super) fn owner_address(&self, home: &HomeKey, now: MonoTime) -> Option<SmolStr> {
+        let owner = self.live(now).find(|(_, peer)| peer.owns(home)).map(|(address, _)| address.clone());
+        let claimed = || self.claims.get(home).filter(|address| self.peers.get(*address).is_some_and(|peer| peer.is_live(now)));
+        owner.or_else(|| claimed().cloned())
+    }
+
+    /// Returns whether a peer that has not been silent for long enough may own `home`.
+    pub(super) fn may_own(&self, home: &HomeKey, now: MonoTime, awake_at: MonoTime) -> bool {
+        let is_young = |at: MonoTime| now.since(at.max(awake_at)) < PEER_SILENCE_MAX;
+        self.peers.values().any(|peer| peer.owns(home) && is_young(peer.heard_at.unwrap_or(peer.known_at)))
+    }
+
+    /// Returns whether this entry has been present for long enough to adopt `home`.
+    pub(super) fn may_adopt(&self, home: &HomeKey, now: MonoTime) -> bool {
+        let is_current = self.announced_at.is_some_and(|at| now.since(at) <= PRESENCE_GAP_MAX);
+        let was_heard = self.peers.values().any(|peer| peer.owns(home) && peer.heard_at.is_some());
+        let has_arrived = self.first_announced_at.is_some_and(|at| now.since(at) >= ARRIVAL_WAIT);
+        is_current && (was_heard || has_arrived)
+    }
+
+    pub(super) fn note_claim(&mut self, home: &HomeKey, address: SmolStr) {
+        self.claims.insert(home.clone(), address);
+    }
+
+    pub(super) fn is_live_home(&self, home: &HomeKey, now: MonoTime) -> bool {
+        self.live(now).any(|(_, peer)| peer.home.as_ref() == Some(home))
+    }
+
+    /// Returns the agent runs that `home` may have used, if it told this entry.
+    pub(super) fn workers_of(&self, home: &HomeKey) -> Option<&Vec<WorkerKey>> {
+        self.peers.values().find(|peer| peer.home.as_ref() == Some(home))?.workers.as_ref()
+    }
+
+    /// Returns the newest fleet version of which every possible adopter has been told.
+    pub(super) fn announced_version(&self, now: MonoTime, version: u64) -> u64 {
+        let told = self.peers.values().filter(|peer| peer.may_adopt(now) && peer.told_version > 0);
+        let limits = told.map(|peer| if peer.acked_version > 0 { peer.acked_version } else { peer.told_version });
+        limits.min().unwrap_or(version).min(version)
+    }
+
+    /// Returns whether no other entry can have adopted this one's homes.
+    pub(super) fn is_ownership_proven(&self, now: MonoTime) -> bool {
+        let adopters = self.peers.values().filter(|peer| peer.may_adopt(now));
+        let is_promised = |peer: &PeerView| peer.promised_at.is_some_and(|at| now.since(at) < OWNERSHIP_LIFETIME);
+        adopters.into_iter().all(is_promised)
+    }
+
+    fn live(&self, now: MonoTime) -> impl Iterator<Item = (&SmolStr, &PeerView)> {
+        self.peers.iter().filter(move |(_, peer)| peer.is_live(now))
+    }
+
+    fn hand_over_target(&self, now: MonoTime) -> Option<(SmolStr, HomeKey)> {
+        let mut usable = self.live(now).filter(|(_, peer)| !peer.is_draining);
+        usable.find_map(|(address, peer)| peer.home.clone().map(|home| (address.clone(), home)))
+    }
+
+    pub(super) fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(&self.peers).unwrap_or_default()
+    }
+}
+
+/// How far a leaving entry is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) enum DrainStep {
+    Working,
+    Finishing,
+    Claiming { address: SmolStr, fence: HomeFence },
+    Handing(CallId),
+    Done,
+}
+
+impl EntryControl {
+    /// Returns whether no other entry can have adopted this one's homes.
+    pub(super) fn is_proven(&self) -> bool {
+        self.peers.is_ownership_proven(self.now)
+    }
+
+    pub(super) fn call_peers(&mut self) {
+        let now = self.now;
+        let due = self.peers.peers.iter().filter(|(_, peer)| now >= peer.next_at && peer.pending.is_none());
+        let due: Vec<SmolStr> = due.map(|(address, _)| address.clone()).collect();
+        for address in due {
+            self.call_peer_gossip(address);
+        }
+    }
+
+    fn call_peer_gossip(&mut self, address: SmolStr) {
+        let call = CallId(self.make_id());
+        let version = self.fleet.version();
+        let peer = self.peers.peers.get_mut(&address).expect("the peer is known");
+        let is_news = peer.acked_version < version;
+        peer.pending = Some((call, self.now, version));
+        peer.told_version = peer.told_version.max(if is_news { version } else { 0 });
+        let workers = is_news.then(|| self.fleet.workers());
+        let gossip = PeerGossip { workers, ..self.make_gossip() };
+        self.counters.gossips += 1;
+        self.call_peer(call, address, PeerCall::Gossip(gossip), false);
+    }
+
+    fn call_peer(&mut self, call: CallId, address: SmolStr, body: PeerCall, is_long: bool) {
+        let envelope = Envelope { revision: self.config.revision(), body };
+        self.actions.push(EntryAction::CallPeer { call, address, envelope, is_long });
+    }
+
+    fn make_gossip(&self) -> PeerGossip {
+        let own = self.home();
+        let owned = self.ledger.owned_homes().filter(|(home, _)| *home != own);
+        let has_quota = |team: &TeamName| self.config.value().teams.contains_key(team);
+        PeerGossip {
+            home: own.clone(),
+            zone: self.zone.clone(),
+            address: self.address.clone(),
+            draining: self.is_draining,
+            is_settled: self.is_settled,
+            workers: None,
+            owned: owned.map(|(home, generation)| HomeFence { home: home.clone(), generation }).collect(),
+            demand: self.ledger.demand().into_iter().filter(|(team, _)| has_quota(team)).collect(),
+        }
+    }
+
+    pub(super) fn take_peer_call(&mut self, reply: ReplyId, call: Envelope<PeerCall>) {
+        self.hear_revision(call.revision);
+        match call.body {
+            PeerCall::Submit(ticket, spec) => self.serve(reply, &ticket, TicketCall::Submit(spec.into())),
+            PeerCall::Query(ticket) => self.serve(reply, &ticket, TicketCall::Query),
+            PeerCall::Cancel(ticket) => self.serve(reply, &ticket, TicketCall::Cancel),
+            PeerCall::Config(value) => {
+                self.offer_config(*value);
+                self.reply_to_peer(reply, PeerReply::Accepted);
+            }
+            PeerCall::Gossip(gossip) => {
+                self.take_gossip(call.revision, gossip, None);
+                let body = PeerReply::Gossip(self.make_gossip());
+                self.reply_to_peer(reply, body);
+            }
+            PeerCall::Handover(handover) => self.take_handover(reply, *handover),
+        }
+    }
+
+    pub(super) fn take_peer_reply(&mut self, call: CallId, reply: Option<Envelope<PeerReply>>) {
+        if let Some(envelope) = &reply {
+            self.hear_revision(envelope.revision);
+        }
+        if let Some(parked) = self.forwarded.remove(&call) {
+            return self.take_forwarded(parked, reply.map(|envelope| envelope.body));
+        }
+        if self.drain_step == DrainStep::Handing(call) {
+            return self.finish_drain();
+        }
+        let now = self.now;
+        let Some((_, peer)) = self.peers.peers.iter_mut().find(|(_, peer)| peer.pending.is_some_and(|(pending, ..)| pending == call))
+        else {
+            return;
+        };
+        let (_, asked_at, version) = peer.pending.take().expect("the call was pending");
+        peer.next_at = now + GOSSIP_PERIOD;
+        if let Some(Envelope { revision, body: PeerReply::Gossip(gossip) }) = reply {
+            let is_same = peer.home.as_ref() == Some(&gossip.home);
+            peer.acked_version = if is_same || peer.home.is_none() { version } else { 0 };
+            peer.promised_at = Some(asked_at);
+            self.take_gossip(revision, gossip, Some(asked_at));
+        }
+    }
+
+    fn take_gossip(&mut self, revision: vanillacleat_core::units::Revision, gossip: PeerGossip, asked_at: Option<MonoTime>) {
+        let now = self.now;
+        let name = gossip.home.entry.clone();
+        let is_new_run = self.peers.peers.get(&gossip.address).is_some_and(|peer| peer.home.as_ref() != Some(&gossip.home));
+        if is_new_run {
+            self.witnesses.forget(name.as_str());
+        }
+        self.witnesses.note(now, name.as_str(), &gossip.zone, revision, asked_at.filter(|_| gossip.is_settled));
+        if revision < self.config.revision() {
+            self.send_config_to(gossip.address.clone());
+        }
+        for fence in &gossip.owned {
+            let is_lost = self.ledger.generation(&fence.home).is_some_and(|generation| generation < fence.generation);
+            if is_lost {
+                self.lose_home(&fence.home);
+            }
+        }
+        self.teams.note_demand(&name, &gossip.demand);
+        let peer = self.peers.peers.entry(gossip.address).or_insert_with(|| PeerView::new(now));
+        if peer.home.as_ref() != Some(&gossip.home) {
+            // A new run knows nothing of what was told to the earlier one.
+            (peer.told_version, peer.acked_version, peer.workers) = (0, 0, None);
+        }
+        peer.home = Some(gossip.home);
+        peer.is_draining = gossip.draining;
+        peer.heard_at = Some(now);
+        peer.owned = gossip.owned;
+        if let Some(workers) = gossip.workers {
+            peer.workers = Some(workers);
+        }
+        self.forget_silent_demand();
+    }
+
+    fn forget_silent_demand(&mut self) {
+        let now = self.now;
+        let silent = self.peers.peers.values().filter(|peer| !peer.is_live(now)).filter_map(|peer| peer.home.as_ref());
+        silent.for_each(|home| self.teams.forget_peer(&home.entry));
+    }
+
+    pub(super) fn send_config_to_peers(&mut self) {
+        let now = self.now;
+        let addresses: Vec<SmolStr> = self.peers.live(now).map(|(address, _)| address.clone()).collect();
+        addresses.into_iter().for_each(|address| self.send_config_to(address));
+    }
+
+    fn send_config_to(&mut self, address: SmolStr) {
+        let call = CallId(self.make_id());
+        let value: Box<ConfigValue> = Box::new(self.config.value().clone());
+        self.counters.configs += 1;
+        self.call_peer(call, address, PeerCall::Config(value), false);
+    }
+
+    pub(super) fn start_drain(&mut self) {
+        if self.is_draining {
+            return;
+        }
+        self.is_draining = true;
+        self.drain_step = DrainStep::Finishing;
+        self.log("drain_started", format!("open_jobs={}", self.ledger.open_jobs()));
+        for peer in self.peers.peers.values_mut() {
+            peer.next_at = self.now;
+        }
+    }
+
+    pub(super) fn advance_drain(&mut self) {
+        let is_idle = self.ledger.open_jobs() == 0 && self.requests.is_empty() && self.changes.is_empty();
+        if self.drain_step != DrainStep::Finishing || !is_idle || !self.forwarded.is_empty() || !self.parked.is_empty() {
+            return;
+        }
+        let home = self.home().clone();
+        let (Some((address, owner)), Some(generation)) = (self.peers.hand_over_target(self.now), self.ledger.generation(&home)) else {
+            return self.finish_drain();
+        };
+        let generation = generation.next();
+        let claim = HomeClaim { owner, address: address.clone(), generation };
+        self.drain_step = DrainStep::Claiming { address, fence: HomeFence { home: home.clone(), generation } };
+        self.call_platform(PlatformOp::WriteClaim(home, StoreVersion(0), claim), PendingOp::Handover);
+    }
+
+    /// Hands the home over once the claim is stored; without it the peer can't be its owner for the others.
+    pub(super) fn take_handover_reply(&mut self, reply: PlatformReply) {
+        let DrainStep::Claiming { address, fence } = self.drain_step.clone() else {
+            return;
+        };
+        if reply != PlatformReply::Written {
+            self.log("handover_failed", format!("home={}", fence.home));
+            return self.finish_drain();
+        }
+        let expired_below = self.mint.expired_below(self.now);
+        let answers = self.ledger.handed_answers(&fence.home);
+        let handover = HomeHandover { fence, next_serial: self.mint.next_serial(), expired_below, answers };
+        self.ledger.fence(&handover.fence.home);
+        let call = CallId(self.make_id());
+        self.drain_step = DrainStep::Handing(call);
+        self.call_peer(call, address, PeerCall::Handover(Box::new(handover)), true);
+    }
+
+    fn finish_drain(&mut self) {
+        self.drain_step = DrainStep::Done;
+        self.log("drain_finished", format!("home={}", self.home()));
+        self.actions.push(EntryAction::Drained);
+    }
+
+    fn take_handover(&mut self, reply: ReplyId, handover: HomeHandover) {
+        if self.is_draining {
+            let refusal = CallRefusal::new(RefusalCode::Draining, "the entry is draining");
+            return self.reply_to_peer(reply, PeerReply::Refused(refusal));
+        }
+        let HomeHandover { fence, expired_below, answers, .. } = handover;
+        self.log("home_taken_over", format!("home={} generation={} answers={}", fence.home, fence.generation, answers.len()));
+        self.ledger.take_over(fence.home.clone(), fence.generation, expired_below, answers);
+        self.keep_until_expired(fence.home.clone());
+        self.fence_agents(&fence);
+        self.reply_to_peer(reply, PeerReply::Accepted);
+        self.wake_parked(&fence.home);
+    }
+}
--- /dev/null
+++ b/crates/control/src/entry/placing.rs
@@ -0,0 +1,85 @@
+//! Sends waiting tasks to workers.
+
+use vanillacleat_core::frames::{EntryFrame, TaskAttempt, TaskDispatch, TaskOrder, TaskRecall};
+use vanillacleat_core::ids::{TaskKey, WorkerKey};
+use vanillacleat_core::units::Millis;
+
+use super::{DispatchBatch, EntryControl};
+use crate::fleet::{PlacementRequest, PlacementRule};
+use crate::ledger::LaneKey;
+
+/// Tasks at the head of a lane that are looked at before the lane is left for this round.
+const LANE_LOOKAHEAD: usize = 8;
+
+impl EntryControl {
+    /// Sends waiting tasks until none is left or no worker has room; tasks for one agent travel in one frame.
+    pub(super) fn place(&mut self) {
+        if self.ledger.waiting_tasks() == 0 {
+            return;
+        }
+        let rule = self.placement_rule();
+        let announced = self.peers.announced_version(self.now, self.fleet.version());
+        let mut batch = DispatchBatch::new();
+        let mut lanes = self.ledger.lanes();
+        while !lanes.is_empty() {
+            // One task a lane and round, so that teams share the workers' slots evenly.
+            lanes.retain(|lane| self.has_share(lane) && self.place_one(lane, &rule, announced, &mut batch));
+        }
+        for ((session, generation), tasks) in batch {
+            self.counters.dispatched += tasks.len() as u64;
+            self.send(session, EntryFrame::Dispatch(TaskDispatch { generation, tasks }));
+        }
+    }
+
+    fn has_share(&self, lane: &LaneKey) -> bool {
+        let Some(policy) = self.config.value().teams.get(&lane.team) else {
+            return true;
+        };
+        let in_flight = self.ledger.team_in_flight(&lane.team);
+        let demand = in_flight + self.ledger.waiting_of(&lane.team);
+        in_flight < self.teams.share(&lane.team, policy.in_flight, demand)
+    }
+
+    fn place_one(&mut self, lane: &LaneKey, rule: &PlacementRule, announced: u64, batch: &mut DispatchBatch) -> bool {
+        let heads = self.ledger.lane_heads(lane, LANE_LOOKAHEAD);
+        heads.iter().any(|key| self.place_task(key, rule, announced, batch))
+    }
+
+    fn place_task(&mut self, key: &TaskKey, rule: &PlacementRule, announced_version: u64, batch: &mut DispatchBatch) -> bool {
+        let Some((spec, deadline)) = self.ledger.waiting_task(key) else {
+            return false;
+        };
+        let task = &spec.tasks[usize::from(key.task)];
+        let service = spec.service.clone();
+        let request = PlacementRequest { service: &service, demand: &task.demand, config: self.config.value(), announced_version };
+        let Some(view) = self.fleet.choose(self.now, rule, request, &self.breakers, &mut self.rng) else {
+            return false;
+        };
+        let (worker, session) = (view.worker.clone(), view.session);
+        let (Some(session), Some(generation)) = (session, self.ledger.generation(&key.home)) else {
+            return false;
+        };
+        let payload = task.payload.clone();
+        let left_ms = Millis::from_duration(deadline.since(self.now));
+        let Some(attempt) = self.ledger.mark_sent(key, &worker) else {
+            return false;
+        };
+        self.breakers.note_sent(&service, &worker.agent);
+        self.note_outstanding(&worker);
+        let order = TaskOrder { key: key.clone(), attempt, service, left_ms, payload };
+        batch.entry((session, generation)).or_default().push(order);
+        true
+    }
+
+    pub(super) fn note_outstanding(&mut self, worker: &WorkerKey) {
+        self.fleet.set_outstanding(&worker.agent, self.ledger.sent_count(worker));
+    }
+
+    pub(super) fn send_cancel(&mut self, worker: &WorkerKey, task: TaskAttempt) {
+        let generation = self.ledger.generation(&task.key.home);
+        if let (Some(session), Some(generation)) = (self.fleet.session_of(worker), generation) {
+            self.counters.cancelled += 1;
+            self.send(session, EntryFrame::Cancel(TaskRecall { generation, tasks: vec![task] }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/entry/routing.rs
@@ -0,0 +1,225 @@
+//! Brings a call that names a ticket to the owner of the ticket's home.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_core::frames::{Envelope, PeerCall, PeerReply};
+use vanillacleat_core::ids::HomeKey;
+use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
+use vanillacleat_core::settings::QueueOrder;
+use vanillacleat_core::ticket::Ticket;
+use vanillacleat_core::units::{Millis, MonoTime};
+
+use super::calls::draining_refusal;
+use super::{CallerReply, EntryAction, EntryControl, SharedSpec, GOSSIP_PERIOD};
+use crate::ledger::{JobAdmission, JobPlace, LedgerFinding};
+use crate::{CallId, ReplyId};
+
+/// Time between two tries of a call whose home cannot be reached.
+const PARK_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time that a call waits for its home to be reached or adopted.
+const PARK_MAX: Duration = Duration::from_secs(12);
+
+/// A `TicketCall` is what is asked of a ticket's home.
+#[derive(Clone, Debug)]
+pub(super) enum TicketCall {
+    Submit(SharedSpec),
+    Query,
+    Cancel,
+}
+
+/// A `ParkedCall` is a ticket's call that waits for its home's owner.
+#[derive(Clone, Debug)]
+pub(super) struct ParkedCall {
+    pub(super) reply: ReplyId,
+    pub(super) ticket: Ticket,
+    pub(super) call: TicketCall,
+    since: MonoTime,
+    retry_at: MonoTime,
+}
+
+/// Where the owner of a home is.
+enum HomeOwner {
+    Here,
+    Peer(SmolStr),
+    Unsettled,
+    Missing,
+}
+
+impl TicketCall {
+    pub(super) fn find_problem(&self) -> Option<SmolStr> {
+        match self {
+            Self::Submit(spec) => spec.find_problem(),
+            Self::Query | Self::Cancel => None,
+        }
+    }
+}
+
+impl EntryControl {
+    pub(super) fn route(&mut self, reply: ReplyId, ticket: Ticket, call: TicketCall) {
+        let parked = ParkedCall { reply, ticket, call, since: self.now, retry_at: self.now };
+        self.route_parked(parked);
+    }
+
+    pub(super) fn retry_parked(&mut self) {
+        let now = self.now;
+        let (due, waiting) = std::mem::take(&mut self.parked).into_iter().partition(|parked| parked.retry_at <= now);
+        self.parked = waiting;
+        let due: Vec<ParkedCall> = due;
+        due.into_iter().for_each(|parked| self.route_parked(parked));
+    }
+
+    /// Tries again at once the calls that wait for `home`.
+    pub(super) fn wake_parked(&mut self, home: &HomeKey) {
+        let now = self.now;
+        self.parked.iter_mut().filter(|parked| parked.ticket.home == *home).for_each(|parked| parked.retry_at = now);
+        self.retry_parked();
+    }
+
+    fn route_parked(&mut self, parked: ParkedCall) {
+        match self.find_owner(&parked.ticket.home) {
+            HomeOwner::Here => self.serve(parked.reply, &parked.ticket, parked.call),
+            HomeOwner::Peer(address) => self.forward(address, parked),
+            HomeOwner::Unsettled => self.park(parked),
+            HomeOwner::Missing => {
+                self.start_adoption(&parked.ticket.home);
+                self.park(parked);
+            }
+        }
+    }
+
+    fn find_owner(&self, home: &HomeKey) -> HomeOwner {
+        if self.ledger.generation(home).is_some() {
+            return HomeOwner::Here;
+        }
+        if self.adoptions.contains_key(home) {
+            return HomeOwner::Unsettled;
+        }
+        if let Some(address) = self.peers.owner_address(home, self.now) {
+            return HomeOwner::Peer(address);
+        }
+        if self.peers.may_own(home, self.now, self.awake_at) || self.now.since(MonoTime::ZERO) < GOSSIP_PERIOD * 2 {
+            return HomeOwner::Unsettled;
+        }
+        HomeOwner::Missing
+    }
+
+    fn park(&mut self, mut parked: ParkedCall) {
+        let wait_max = match &parked.call {
+            TicketCall::Submit(spec) => spec.deadline_ms.to_duration().min(PARK_MAX),
+            TicketCall::Query | TicketCall::Cancel => PARK_MAX,
+        };
+        if self.now.since(parked.since) >= wait_max {
+            let refusal = CallRefusal::new(RefusalCode::HomeUnreachable, "the ticket's home cannot be reached and could not be adopted");
+            return self.refuse(parked.reply, refusal.retry_after(Millis(1_000)));
+        }
+        parked.retry_at = self.now + PARK_PERIOD;
+        self.parked.push(parked);
+    }
+
+    fn forward(&mut self, address: SmolStr, parked: ParkedCall) {
+        let ticket = parked.ticket.clone();
+        let body = match &parked.call {
+            TicketCall::Submit(spec) => PeerCall::Submit(ticket, (**spec).clone()),
+            TicketCall::Query => PeerCall::Query(ticket),
+            TicketCall::Cancel => PeerCall::Cancel(ticket),
+        };
+        let call = CallId(self.make_id());
+        self.forwarded.insert(call, parked);
+        let envelope = Envelope { revision: self.config.revision(), body };
+        self.actions.push(EntryAction::CallPeer { call, address, envelope, is_long: true });
+    }
+
+    /// Takes the answer to a forwarded call. A call that failed is tried again, at whoever owns the home then.
+    pub(super) fn take_forwarded(&mut self, parked: ParkedCall, reply: Option<PeerReply>) {
+        let is_settled = |refusal: &CallRefusal| !matches!(refusal.code, RefusalCode::HomeFenced | RefusalCode::HomeUnreachable);
+        match reply {
+            Some(PeerReply::Answer(answer)) => self.reply(parked.reply, CallerReply::Answer(answer.into())),
+            Some(PeerReply::Pending) => self.reply(parked.reply, CallerReply::Pending),
+            Some(PeerReply::Refused(refusal)) if is_settled(&refusal) => self.refuse(parked.reply, refusal),
+            _ => self.park(parked),
+        }
+    }
+
+    /// Serves a ticket's call at its home.
+    pub(super) fn serve(&mut self, reply: ReplyId, ticket: &Ticket, call: TicketCall) {
+        let place = JobPlace { home: ticket.home.clone(), serial: ticket.serial };
+        match call {
+            TicketCall::Submit(spec) => self.serve_submit(reply, place, spec),
+            TicketCall::Query => self.serve_query(reply, &place),
+            TicketCall::Cancel => self.serve_cancel(reply, &place),
+        }
+    }
+
+    fn serve_submit(&mut self, reply: ReplyId, place: JobPlace, spec: SharedSpec) {
+        let digest = spec.digest();
+        match self.ledger.find(&place, Some(digest), Some(reply)) {
+            LedgerFinding::Answered(answer) => self.reply(reply, CallerReply::Answer(answer)),
+            LedgerFinding::Attached => {}
+            LedgerFinding::Refused(refusal) => self.refuse(reply, refusal),
+            LedgerFinding::Unused if self.is_draining => self.refuse_unused(reply, draining_refusal()),
+            LedgerFinding::Unused => {
+                let view = self.admission_view(&spec);
+                let is_known = self.ledger.is_inventoried(&place);
+                if let Some(refusal) = view.find_refusal(&spec).filter(|_| !is_known) {
+                    return self.refuse_unused(reply, refusal);
+                }
+                let deadline = self.now + spec.deadline_ms.to_duration();
+                let rank = self.rank(deadline, view.estimate(spec.tasks.len()).unwrap_or_default());
+                let admission = JobAdmission { place, spec, digest, deadline, rank, waiter: Some(reply) };
+                let effects = self.ledger.accept(self.now, admission);
+                self.apply(effects);
+            }
+        }
+    }
+
+    /// Refuses a job that is not known here. That it was not run is said only while the home is proved to be owned.
+    fn refuse_unused(&mut self, reply: ReplyId, refusal: CallRefusal) {
+        if self.is_proven() {
+            return self.refuse(reply, refusal);
+        }
+        self.refuse_fenced(reply);
+    }
+
+    pub(super) fn refuse_fenced(&mut self, reply: ReplyId) {
+        let detail = "another entry may own the ticket's home; submit the same ticket again";
+        self.refuse(reply, CallRefusal::new(RefusalCode::HomeFenced, detail).retry_after(Millis(500)));
+    }
+
+    fn rank(&self, deadline: MonoTime, estimate: Duration) -> u64 {
+        let rank_time = match self.policy.order {
+            QueueOrder::Arrival => self.now,
+            QueueOrder::Deadline => deadline,
+            QueueOrder::JobSize => self.now + estimate,
+        };
+        rank_time.as_micros()
+    }
+
+    fn serve_query(&mut self, reply: ReplyId, place: &JobPlace) {
+        let body = match self.ledger.find(place, None, None) {
+            LedgerFinding::Answered(answer) => CallerReply::Answer(answer),
+            LedgerFinding::Attached => CallerReply::Pending,
+            LedgerFinding::Refused(refusal) => CallerReply::Refused(refusal),
+            LedgerFinding::Unused => {
+                CallerReply::Refused(CallRefusal::new(RefusalCode::JobMissing, "no job was submitted under the ticket"))
+            }
+        };
+        self.reply(reply, body);
+    }
+
+    fn serve_cancel(&mut self, reply: ReplyId, place: &JobPlace) {
+        match self.ledger.find(place, None, Some(reply)) {
+            LedgerFinding::Attached => {
+                let effects = self.ledger.cancel(self.now, place);
+                self.apply(effects);
+            }
+            LedgerFinding::Answered(answer) => {
+                // The caller has the answer and asks for no more of it, so the text need not be kept.
+                self.ledger.acknowledge(place);
+                self.reply(reply, CallerReply::Answer(answer));
+            }
+            LedgerFinding::Refused(refusal) => self.refuse(reply, refusal),
+            LedgerFinding::Unused => self.refuse(reply, CallRefusal::new(RefusalCode::JobMissing, "no job was submitted under the ticket")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/entry/sessions.rs
@@ -0,0 +1,222 @@
+//! Frames of agents.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use vanillacleat_core::config::ConfigValue;
+use vanillacleat_core::frames::{
+    AgentFrame, AgentHello, BounceReason, EntryFrame, EntryWelcome, Envelope, FreshnessAsk, FreshnessEcho, TaskRecall, TaskResult,
+    TaskResults, TaskStatus,
+};
+use vanillacleat_core::ids::{HomeKey, WorkerKey, ZoneName};
+use vanillacleat_core::outcome::TaskOutcome;
+use vanillacleat_core::units::{Millis, MonoTime, Revision};
+
+use super::{EntryAction, EntryControl};
+use crate::fleet::HelloMeaning;
+use crate::SessionId;
+
+/// Time without a frame from which a session counts as broken.
+const SESSION_SILENCE_MAX: Duration = Duration::from_secs(3);
+/// Questions of ours that may be unanswered on one session.
+const NONCES_KEPT: usize = 8;
+
+impl EntryControl {
+    pub(super) fn take_agent_frame(&mut self, session: SessionId, frame: Envelope<AgentFrame>) {
+        if let AgentFrame::Hello(hello) = frame.body {
+            return self.take_hello(session, frame.revision, hello);
+        }
+        let Some(view) = self.fleet.worker_on(session) else {
+            return;
+        };
+        let (worker, zone) = (view.worker.clone(), view.zone.clone());
+        self.hear_revision(frame.revision);
+        self.fleet.note_heard(self.now, &worker.agent);
+        match frame.body {
+            AgentFrame::Hello(_) => {}
+            AgentFrame::Ask(ask) => self.take_ask(session, &worker, &zone, frame.revision, ask),
+            AgentFrame::Results(results) => self.take_results(session, &worker, results),
+            AgentFrame::Inventory(inventory) => self.take_inventory(&worker, inventory),
+            AgentFrame::ConfigWanted => self.send_config(session),
+        }
+    }
+
+    fn take_hello(&mut self, session: SessionId, revision: Revision, hello: AgentHello) {
+        self.hear_revision(revision);
+        let worker = hello.worker.clone();
+        self.witnesses.note(self.now, worker.agent.as_str(), &hello.zone, revision, None);
+        let meaning = self.fleet.note_hello(self.now, session, &hello);
+        let mut entries = self.peers.addresses(self.now);
+        entries.push(self.address.clone());
+        self.send(session, EntryFrame::Welcome(EntryWelcome { home: self.home().clone(), entries }));
+        if revision < self.config.revision() {
+            self.send_config(session);
+        }
+        match meaning {
+            HelloMeaning::Joined => {}
+            HelloMeaning::Returned => self.send_reclaims(session, &worker),
+            HelloMeaning::Restarted(earlier) => {
+                self.witnesses.forget(worker.agent.as_str());
+                self.witnesses.note(self.now, worker.agent.as_str(), &hello.zone, revision, None);
+                self.breakers.forget(&worker.agent);
+                let effects = self.ledger.lose_worker(self.now, &earlier);
+                self.apply(effects);
+            }
+        }
+        self.note_outstanding(&worker);
+        self.fence_late_agent(session, &worker);
+    }
+
+    fn send_reclaims(&mut self, session: SessionId, worker: &WorkerKey) {
+        let mut by_home: BTreeMap<HomeKey, Vec<_>> = BTreeMap::new();
+        for task in self.ledger.sent_to(worker) {
+            by_home.entry(task.key.home.clone()).or_default().push(task);
+        }
+        for (home, tasks) in by_home {
+            if let Some(generation) = self.ledger.generation(&home) {
+                self.counters.reclaimed += tasks.len() as u64;
+                self.send(session, EntryFrame::Reclaim(TaskRecall { generation, tasks }));
+            }
+        }
+    }
+
+    pub(super) fn lose_session(&mut self, session: SessionId) {
+        self.nonces.remove(&session);
+        if let Some(worker) = self.fleet.note_lost(self.now, session) {
+            self.log("agent_lost", format!("agent={} outstanding={}", worker, self.ledger.sent_count(&worker)));
+        }
+    }
+
+    /// Ends sessions whose agents have been silent: a host may be gone without a word.
+    pub(super) fn close_silent_sessions(&mut self) {
+        for session in self.fleet.silent_sessions(self.now, self.awake_at, SESSION_SILENCE_MAX) {
+            self.actions.push(EntryAction::Close { session });
+            self.lose_session(session);
+        }
+    }
+
+    fn take_ask(&mut self, session: SessionId, worker: &WorkerKey, zone: &ZoneName, revision: Revision, ask: FreshnessAsk) {
+        if let Some(load) = &ask.load {
+            self.fleet.note_load(&worker.agent, load);
+        }
+        let asked_at = self.find_question(session, ask.echoed).filter(|_| ask.is_settled);
+        self.witnesses.note(self.now, worker.agent.as_str(), zone, revision, asked_at);
+        let asked = self.make_id();
+        let nonces = self.nonces.entry(session).or_default();
+        nonces.push_back((asked, self.now));
+        if nonces.len() > NONCES_KEPT {
+            nonces.pop_front();
+        }
+        let proof_age_ms = self.proof_age().map(|age| Millis::from_duration(age + Duration::from_millis(1)));
+        self.counters.echoes += 1;
+        self.send(session, EntryFrame::Echo(FreshnessEcho { nonce: ask.nonce, asked, proof_age_ms }));
+    }
+
+    fn find_question(&self, session: SessionId, echoed: u64) -> Option<MonoTime> {
+        let nonces = self.nonces.get(&session)?;
+        nonces.iter().find(|(nonce, _)| *nonce == echoed).map(|(_, at)| *at)
+    }
+
+    /// Returns how long ago it was proved that the configuration held is the newest.
+    pub(super) fn proof_age(&mut self) -> Option<Duration> {
+        if self.config.is_behind() {
+            return None;
+        }
+        self.note_self();
+        let proof = self.platform_proof.max(self.witnesses.proof());
+        self.is_settled |= proof.is_some();
+        proof.map(|at| self.now.since(at))
+    }
+
+    fn take_results(&mut self, session: SessionId, worker: &WorkerKey, results: TaskResults) {
+        self.fleet.note_load(&worker.agent, &results.load);
+        for result in results.results {
+            self.take_result(session, worker, result);
+        }
+        self.note_outstanding(worker);
+    }
+
+    fn take_result(&mut self, _session: SessionId, worker: &WorkerKey, result: TaskResult) {
+        let service = self.ledger.service_of(&result.key);
+        match &result.status {
+            TaskStatus::Ended(outcome) => {
+                let is_success = outcome.is_done();
+                let ran = matches!(outcome, TaskOutcome::Done(_) | TaskOutcome::Failed(_));
+                self.counters.ended += 1;
+                match &service {
+                    Some(service) if ran => self.learn(worker, service, is_success, result.run_ms.to_duration()),
+                    Some(_) => {}
+                    None => self.counters.unwanted += 1,
+                }
+            }
+            TaskStatus::Bounced(reason) => {
+                self.counters.bounced += 1;
+                self.note_bounce(worker, &result, *reason);
+                if let Some(service) = &service {
+                    self.breakers.note_returned(service, &worker.agent);
+                }
+            }
+            TaskStatus::Held | TaskStatus::Abandoned => {}
+        }
+        let effects = self.ledger.report(self.now, worker, result);
+        self.apply(effects);
+    }
+
+    fn learn(&mut self, worker: &WorkerKey, service: &vanillacleat_core::ids::ServiceName, is_success: bool, run: Duration) {
+        if is_success {
+            self.run_times.record(service, run);
+        }
+        let workers = self.fleet.servers_of(service);
+        if self.breakers.note_outcome(self.now, service, &worker.agent, is_success, workers) {
+            self.log("breaker_changed", format!("agent={} service={service} success={is_success}", worker.agent));
+        }
+    }
+
+    fn note_bounce(&mut self, worker: &WorkerKey, result: &TaskResult, reason: BounceReason) {
+        match reason {
+            BounceReason::Fenced => self.lose_home(&result.key.home.clone()),
+            BounceReason::QueueFull | BounceReason::ZoneOut | BounceReason::NoUpstream | BounceReason::Stale | BounceReason::Draining => {
+                self.fleet.note_bounce(self.now, &worker.agent);
+            }
+            BounceReason::Reclaimed | BounceReason::Deadline | BounceReason::Cancelled => {}
+        }
+    }
+
+    /// Notes that another entry owns `home`: its callers are told, and nothing more is sent for it.
+    pub(super) fn lose_home(&mut self, home: &HomeKey) {
+        if self.ledger.generation(home).is_none() {
+            return;
+        }
+        self.log("home_fenced", format!("home={home}"));
+        let waiters = self.ledger.fence(home);
+        if self.home() == home {
+            self.rotate_home();
+        }
+        for waiter in waiters {
+            self.refuse_fenced(waiter);
+        }
+    }
+
+    pub(super) fn hear_revision(&mut self, revision: Revision) {
+        self.config.hear(revision);
+        if self.config.is_behind() {
+            self.hurry_poll();
+        }
+    }
+
+    /// Takes a newer configuration and hands it on at once.
+    pub(super) fn offer_config(&mut self, value: ConfigValue) {
+        if !self.config.offer(value) {
+            return;
+        }
+        self.log("config_in_force", format!("revision={}", self.config.revision()));
+        let sessions: Vec<SessionId> = self.fleet.agents().filter_map(|view| view.session).collect();
+        sessions.into_iter().for_each(|session| self.send_config(session));
+        self.send_config_to_peers();
+    }
+
+    fn send_config(&mut self, session: SessionId) {
+        self.counters.configs += 1;
+        self.send(session, EntryFrame::Config(Box::new(self.config.value().clone())));
+    }
+}
--- /dev/null
+++ b/crates/control/src/fleet/agent_view.rs
@@ -0,0 +1,125 @@
+//! What an entry knows of one agent.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use vanillacleat_core::frames::{AgentHello, LoadReport, UpstreamOffer};
+use vanillacleat_core::ids::{ServiceName, WorkerKey, ZoneName};
+use vanillacleat_core::job::TaskDemand;
+use vanillacleat_core::units::MonoTime;
+
+use crate::SessionId;
+
+/// Time an agent gets no work after it bounced a task for a reason of its own.
+const BOUNCE_PAUSE: Duration = Duration::from_millis(100);
+/// Window in which broken sessions count as flapping.
+const FLAP_WINDOW: Duration = Duration::from_secs(60);
+/// Broken sessions in the window from which an agent is held back.
+const FLAPS_TOLERATED: u32 = 2;
+/// Time an agent is held back for the first flap too many; it doubles with each further one.
+const FLAP_PAUSE_MIN: Duration = Duration::from_secs(1);
+/// Longest time that an agent is held back for flapping.
+const FLAP_PAUSE_MAX: Duration = Duration::from_secs(30);
+
+/// An `AgentView` is what this entry knows of one agent.
+#[derive(Clone, Debug, Serialize)]
+pub struct AgentView {
+    /// The agent's run.
+    pub worker: WorkerKey,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// What the worker can hold.
+    pub capacity: TaskDemand,
+    /// The session, while it stands.
+    pub session: Option<SessionId>,
+    /// The upstreams that may receive work.
+    pub upstreams: Vec<UpstreamOffer>,
+    /// Tasks that other entries have there, by the last report.
+    pub others: u32,
+    /// Tasks of this entry sent and not yet reported.
+    pub outstanding: u32,
+    /// When the agent was last heard.
+    pub heard_at: MonoTime,
+    /// When the session broke.
+    pub lost_at: Option<MonoTime>,
+    /// The fleet's version in which this run appeared.
+    pub joined_version: u64,
+    /// When this run was first seen.
+    pub first_seen: MonoTime,
+    paused_until: MonoTime,
+    flaps: u32,
+    flapped_at: MonoTime,
+}
+
+impl AgentView {
+    pub(super) fn new(now: MonoTime, session: SessionId, hello: &AgentHello, joined_version: u64) -> Self {
+        let mut view = Self {
+            worker: hello.worker.clone(),
+            zone: hello.zone.clone(),
+            capacity: hello.capacity,
+            session: Some(session),
+            upstreams: Vec::new(),
+            others: 0,
+            outstanding: 0,
+            heard_at: now,
+            lost_at: None,
+            joined_version,
+            first_seen: now,
+            paused_until: MonoTime::ZERO,
+            flaps: 0,
+            flapped_at: MonoTime::ZERO,
+        };
+        view.note_load(&hello.load);
+        view
+    }
+
+    /// Takes a load report.
+    pub fn note_load(&mut self, load: &LoadReport) {
+        self.upstreams.clone_from(&load.upstreams);
+        self.others = (load.queued + load.running).saturating_sub(load.mine);
+    }
+
+    /// Holds work back for a moment after a bounce.
+    pub fn note_bounce(&mut self, now: MonoTime) {
+        self.paused_until = self.paused_until.max(now + BOUNCE_PAUSE);
+    }
+
+    pub(super) fn note_lost(&mut self, now: MonoTime) {
+        self.session = None;
+        self.lost_at = Some(now);
+        if now.since(self.flapped_at) > FLAP_WINDOW {
+            self.flaps = 0;
+        }
+        self.flaps += 1;
+        self.flapped_at = now;
+    }
+
+    pub(super) fn note_back(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello) {
+        self.session = Some(session);
+        self.heard_at = now;
+        self.lost_at = None;
+        self.capacity = hello.capacity;
+        self.zone.clone_from(&hello.zone);
+        self.note_load(&hello.load);
+        let excess = self.flaps.saturating_sub(FLAPS_TOLERATED);
+        if excess > 0 {
+            let pause = FLAP_PAUSE_MIN * 2_u32.pow((excess - 1).min(5));
+            self.paused_until = now + pause.min(FLAP_PAUSE_MAX);
+        }
+    }
+
+    /// Returns the slots for `service`.
+    pub fn slots(&self, service: &ServiceName) -> u32 {
+        self.upstreams.iter().filter(|offer| offer.service == *service).map(|offer| offer.slots).sum()
+    }
+
+    /// Returns the tasks that all entries have there, as far as is known.
+    pub fn load(&self) -> u32 {
+        self.outstanding + self.others
+    }
+
+    /// Returns whether the agent may be sent work now.
+    pub fn is_usable(&self, now: MonoTime) -> bool {
+        self.session.is_some() && now >= self.paused_until
+    }
+}
--- /dev/null
+++ b/crates/control/src/fleet/mod.rs
@@ -0,0 +1,147 @@
+//! The agents an entry knows, and the choice among them.
+
+mod agent_view;
+mod placement;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use vanillacleat_core::config::ConfigValue;
+use vanillacleat_core::frames::{AgentHello, LoadReport};
+use vanillacleat_core::ids::{AgentId, ServiceName, WorkerKey};
+use vanillacleat_core::job::TaskDemand;
+use vanillacleat_core::units::MonoTime;
+
+use crate::SessionId;
+
+pub use agent_view::AgentView;
+pub use placement::{PlacementRequest, PlacementRule};
+
+/// A `FleetView` is what one entry knows of the agents. Only sessions tell it who is there.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    agents: BTreeMap<AgentId, AgentView>,
+    version: u64,
+}
+
+/// What a hello means for the agent's earlier tasks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HelloMeaning {
+    /// The agent was not known.
+    Joined,
+    /// The same run is back.
+    Returned,
+    /// The process is new; the earlier run is gone.
+    Restarted(WorkerKey),
+}
+
+impl FleetView {
+    /// Notes an agent's hello on `session`.
+    pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello) -> HelloMeaning {
+        let agent = &hello.worker.agent;
+        let earlier = self.agents.get_mut(agent);
+        if let Some(view) = earlier.filter(|view| view.worker == hello.worker) {
+            view.note_back(now, session, hello);
+            return HelloMeaning::Returned;
+        }
+        self.version += 1;
+        let view = AgentView::new(now, session, hello, self.version);
+        match self.agents.insert(agent.clone(), view) {
+            Some(view) => HelloMeaning::Restarted(view.worker),
+            None => HelloMeaning::Joined,
+        }
+    }
+
+    /// Notes that `session` broke; returns the agent run it belonged to.
+    pub fn note_lost(&mut self, now: MonoTime, session: SessionId) -> Option<WorkerKey> {
+        let view = self.agents.values_mut().find(|view| view.session == Some(session))?;
+        view.note_lost(now);
+        Some(view.worker.clone())
+    }
+
+    /// Notes that the agent was heard.
+    pub fn note_heard(&mut self, now: MonoTime, agent: &AgentId) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.heard_at = now;
+        }
+    }
+
+    /// Returns the sessions that have been silent for `age`, counted from `awake_at` at the earliest.
+    pub fn silent_sessions(&self, now: MonoTime, awake_at: MonoTime, age: Duration) -> Vec<SessionId> {
+        let is_silent = |view: &&AgentView| now.since(view.heard_at.max(awake_at)) >= age;
+        self.agents.values().filter(is_silent).filter_map(|view| view.session).collect()
+    }
+
+    /// Takes a load report of an agent.
+    pub fn note_load(&mut self, agent: &AgentId, load: &LoadReport) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.note_load(load);
+        }
+    }
+
+    /// Notes how many tasks of this entry an agent has.
+    pub fn set_outstanding(&mut self, agent: &AgentId, count: usize) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.outstanding = count as u32;
+        }
+    }
+
+    /// Holds work back for a moment from an agent that bounced a task.
+    pub fn note_bounce(&mut self, now: MonoTime, agent: &AgentId) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.note_bounce(now);
+        }
+    }
+
+    /// Returns the agent run on `session`.
+    pub fn worker_on(&self, session: SessionId) -> Option<&AgentView> {
+        self.agents.values().find(|view| view.session == Some(session))
+    }
+
+    /// Returns the session of an agent run.
+    pub fn session_of(&self, worker: &WorkerKey) -> Option<SessionId> {
+        self.agents.get(&worker.agent).filter(|view| view.worker == *worker).and_then(|view| view.session)
+    }
+
+    /// Returns the agents in order of their names.
+    pub fn agents(&self) -> impl Iterator<Item = &AgentView> {
+        self.agents.values()
+    }
+
+    /// Counts the changes of the set of agent runs.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns every known agent run.
+    pub fn workers(&self) -> Vec<WorkerKey> {
+        self.agents.values().map(|view| view.worker.clone()).collect()
+    }
+
+    /// Returns the runs that have been lost for `grace` or longer.
+    pub fn lost_for(&self, now: MonoTime, grace: Duration) -> Vec<WorkerKey> {
+        let is_gone = |view: &&AgentView| view.lost_at.is_some_and(|at| now.since(at) >= grace);
+        self.agents.values().filter(is_gone).map(|view| view.worker.clone()).collect()
+    }
+
+    /// Forgets agents lost for `age` or longer.
+    pub fn forget_lost(&mut self, now: MonoTime, age: Duration) {
+        self.agents.retain(|_, view| view.lost_at.is_none_or(|at| now.since(at) < age));
+    }
+
+    /// Returns how many agents serve `service`.
+    pub fn servers_of(&self, service: &ServiceName) -> usize {
+        self.agents.values().filter(|view| view.slots(service) > 0).count()
+    }
+
+    /// Returns the slots for `service` in availability zones that are in service.
+    pub fn slots_of(&self, service: &ServiceName, config: &ConfigValue) -> u32 {
+        let in_service = self.agents.values().filter(|view| view.session.is_some() && !config.zones_out.contains(&view.zone));
+        in_service.map(|view| view.slots(service)).sum()
+    }
+
+    /// Returns whether some known worker of `service` could ever hold a task with `demand`.
+    pub fn could_hold(&self, service: &ServiceName, demand: &TaskDemand) -> bool {
+        self.agents.values().any(|view| view.slots(service) > 0 && demand.fits(&view.capacity))
+    }
+}
--- /dev/null
+++ b/crates/control/src/gate/mod.rs
@@ -0,0 +1,293 @@
+//! The start gate: the only place where a task starts.
+
+mod freshness;
+mod gate_queue;
+mod task_records;
+mod upstream_board;
+
+use std::time::Duration;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+use vanillacleat_core::config::ConfigValue;
+use vanillacleat_core::frames::{BounceReason, FenceInventory, HomeFence, LoadReport, TaskAttempt, TaskOrder, TaskResult, TaskStatus};
+use vanillacleat_core::ids::{HomeKey, ServiceName, TaskKey, UpstreamName, ZoneName};
+use vanillacleat_core::outcome::{TaskOutcome, UnknownReason};
+use vanillacleat_core::settings::GateSettings;
+use vanillacleat_core::units::{Generation, Millis, MonoTime};
+
+use crate::config_holder::ConfigHolder;
+
+pub use freshness::FreshnessProof;
+use gate_queue::GateQueue;
+use task_records::TaskRecords;
+pub use upstream_board::{UpstreamBoard, UpstreamNotice};
+
+/// A `StartOrder` tells the traffic side to start a task now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StartOrder {
+    /// The task.
+    pub key: TaskKey,
+    /// The upstream that runs it.
+    pub upstream: UpstreamName,
+    /// Where the upstream listens, as `ip:port`.
+    pub address: SmolStr,
+    /// The service.
+    pub service: ServiceName,
+    /// Time left until the deadline.
+    pub left: Duration,
+    /// The text for the upstream.
+    pub payload: String,
+}
+
+/// A `StartGate` admits each task once and starts it only where the operators allow it.
+#[derive(Debug)]
+pub struct StartGate {
+    zone: ZoneName,
+    settings: GateSettings,
+    records: TaskRecords,
+    queue: GateQueue,
+    upstreams: UpstreamBoard,
+    config: ConfigHolder,
+    freshness: FreshnessProof,
+    is_draining: bool,
+}
+
+impl StartGate {
+    /// Returns a gate in availability zone `zone` that has admitted nothing.
+    pub fn new(zone: ZoneName, settings: GateSettings) -> Self {
+        let freshness = FreshnessProof::new(settings.freshness, settings.freshness_ms.to_duration());
+        let records = TaskRecords::new(settings.retention_ms.to_duration(), settings.answer_bytes.0 as usize);
+        Self {
+            zone,
+            settings,
+            records,
+            queue: GateQueue::default(),
+            upstreams: UpstreamBoard::default(),
+            config: ConfigHolder::default(),
+            freshness,
+            is_draining: false,
+        }
+    }
+
+    /// Returns the configuration that the gate obeys.
+    pub fn config(&mut self) -> &mut ConfigHolder {
+        &mut self.config
+    }
+
+    /// Returns the gate's proof of freshness.
+    pub fn freshness(&mut self) -> &mut FreshnessProof {
+        &mut self.freshness
+    }
+
+    /// Returns the upstreams that announced themselves.
+    pub fn upstreams(&mut self) -> &mut UpstreamBoard {
+        &mut self.upstreams
+    }
+
+    /// Takes `value` if it is newer than the configuration held; returns whether it was.
+    pub fn offer_config(&mut self, value: ConfigValue) -> bool {
+        self.config.offer(value)
+    }
+
+    /// Stops taking tasks; queued ones bounce at the next [`StartGate::recheck`].
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Returns whether the gate is draining.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
+    /// Takes an order from the owner of `generation`. Returns the task's state if it is not queued by this call.
+    pub fn admit(&mut self, now: MonoTime, generation: Generation, order: TaskOrder) -> Option<TaskResult> {
+        let key = order.key.clone();
+        if !self.records.obeys(&key.home, generation) {
+            return Some(bounce(key, order.attempt, BounceReason::Fenced));
+        }
+        let stamp = (generation, order.attempt);
+        if let Some(known) = self.records.find(&key, stamp) {
+            return Some(known);
+        }
+        let is_full = self.queue.len() >= self.room();
+        let full = is_full.then_some(BounceReason::QueueFull);
+        if let Some(reason) = self.find_bar(now, &order.service).or(full) {
+            self.records.note_refused(now, &key, stamp);
+            return Some(bounce(key, order.attempt, reason));
+        }
+        let deadline = now + order.left_ms.to_duration();
+        self.records.note_queued(&key, order.attempt);
+        self.queue.push(deadline, order);
+        None
+    }
+
+    /// Returns the tasks to start now, the earliest deadline first.
+    pub fn start_ready(&mut self, now: MonoTime) -> Vec<StartOrder> {
+        let mut starts = Vec::new();
+        while let Some((deadline, order, upstream, address)) = self.take_startable(now) {
+            self.records.note_started(now, &order.key);
+            self.upstreams.note_started(&upstream);
+            let left = deadline.since(now);
+            let TaskOrder { key, service, payload, .. } = order;
+            starts.push(StartOrder { key, upstream, address, service, left, payload });
+        }
+        starts
+    }
+
+    /// Bounces queued tasks that may no longer start here.
+    pub fn recheck(&mut self, now: MonoTime) -> Vec<TaskResult> {
+        let mut bounced = Vec::new();
+        for (deadline, key, service) in self.queue.list() {
+            let late = (deadline <= now).then_some(BounceReason::Deadline);
+            if let Some(reason) = late.or_else(|| self.find_bar(now, &service)) {
+                bounced.push(self.unqueue(now, &key, reason));
+            }
+        }
+        bounced
+    }
+
+    /// Takes back tasks on their home's word: queued ones bounce, running ones are abandoned.
+    pub fn cancel(&mut self, now: MonoTime, generation: Generation, task: &TaskAttempt) -> TaskResult {
+        let is_owner = self.records.obeys(&task.key.home, generation);
+        if is_owner && self.queue.contains(&task.key) {
+            return self.unqueue(now, &task.key, BounceReason::Cancelled);
+        }
+        let known = self.reclaim(now, generation, task);
+        if known.status != TaskStatus::Held {
+            return known;
+        }
+        self.records.note_abandoned(&task.key);
+        TaskResult { status: TaskStatus::Abandoned, ..known }
+    }
+
+    /// Says what became of a task that was sent on a session that broke. An attempt that never came never starts
+    /// from now on.
+    pub fn reclaim(&mut self, now: MonoTime, generation: Generation, task: &TaskAttempt) -> TaskResult {
+        if !self.records.obeys(&task.key.home, generation) {
+            return bounce(task.key.clone(), task.attempt, BounceReason::Fenced);
+        }
+        let stamp = (generation, task.attempt);
+        if let Some(known) = self.records.find(&task.key, stamp) {
+            return known;
+        }
+        self.records.note_refused(now, &task.key, stamp);
+        bounce(task.key.clone(), task.attempt, BounceReason::Reclaimed)
+    }
+
+    /// Obeys only `fence.generation` and higher for the home from now on; tells all that is known of its tasks.
+    ///
+    /// Queued tasks of older owners are removed, for the new owner places them itself.
+    pub fn fence(&mut self, now: MonoTime, fence: &HomeFence) -> FenceInventory {
+        if self.records.raise_fence(fence) {
+            let queued = self.queue.list().into_iter().map(|(_, key, _)| key).filter(|key| key.home == fence.home);
+            for key in queued.collect::<Vec<_>>() {
+                self.unqueue(now, &key, BounceReason::Fenced);
+            }
+        }
+        self.records.take_inventory(&fence.home)
+    }
+
+    /// Notes a task's end. Returns what its home should hear, if anything.
+    pub fn finish(&mut self, key: &TaskKey, upstream: &UpstreamName, outcome: TaskOutcome, run: Duration) -> Option<TaskResult> {
+        self.upstreams.note_ended(upstream);
+        let run_ms = Millis::from_duration(run);
+        let is_wanted = self.records.note_ended(key, outcome.clone(), run_ms);
+        is_wanted.then(|| TaskResult { key: key.clone(), attempt: 0, status: TaskStatus::Ended(outcome), run_ms })
+    }
+
+    /// Notes that a started task never left this host: its upstream could not be reached. Returns the bounce.
+    pub fn unstart(&mut self, now: MonoTime, key: &TaskKey, upstream: &UpstreamName) -> TaskResult {
+        self.upstreams.note_ended(upstream);
+        self.upstreams.note_unreachable(upstream);
+        let attempt = self.records.note_unstarted(now, key);
+        bounce(key.clone(), attempt, BounceReason::NoUpstream)
+    }
+
+    /// Forgets what the retention window allows to forget.
+    pub fn forget_old(&mut self, now: MonoTime) {
+        self.records.forget_old(now);
+        self.upstreams.expire(now);
+    }
+
+    /// Returns the load that the gate offers; `mine` counts the tasks of the entry that reads it.
+    pub fn load(&self, now: MonoTime, mine: u32) -> LoadReport {
+        let is_open = !self.is_draining && self.zone_is_in() && self.freshness.is_fresh(now);
+        let upstreams = if is_open { self.upstreams.offers(self.config.value()) } else { Vec::new() };
+        LoadReport { queued: self.queue.len() as u32, running: self.upstreams.running(), mine, upstreams }
+    }
+
+    /// Returns how many tasks of `home` are queued or running.
+    pub fn held_of(&self, home: &HomeKey) -> u32 {
+        self.records.held_of(home)
+    }
+
+    /// Returns how many tasks run at the upstreams.
+    pub fn running(&self) -> u32 {
+        self.upstreams.running()
+    }
+
+    /// Returns how many tasks wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many tasks are remembered and the bytes of kept answers.
+    pub fn remembered(&self) -> (usize, usize) {
+        (self.records.len(), self.records.answer_bytes())
+    }
+
+    /// Returns why no task of `service` may be taken or started now.
+    fn find_bar(&self, now: MonoTime, service: &ServiceName) -> Option<BounceReason> {
+        if self.is_draining {
+            return Some(BounceReason::Draining);
+        }
+        if !self.zone_is_in() {
+            return Some(BounceReason::ZoneOut);
+        }
+        if !self.freshness.is_fresh(now) {
+            return Some(BounceReason::Stale);
+        }
+        let is_served = self.upstreams.serves(service, self.config.value());
+        (!is_served).then_some(BounceReason::NoUpstream)
+    }
+
+    fn zone_is_in(&self) -> bool {
+        !self.config.value().zones_out.contains(&self.zone)
+    }
+
+    fn room(&self) -> usize {
+        self.settings.queue_limit as usize + self.upstreams.free_slots() as usize
+    }
+
+    fn take_startable(&mut self, now: MonoTime) -> Option<(MonoTime, TaskOrder, UpstreamName, SmolStr)> {
+        if self.is_draining || !self.zone_is_in() || !self.freshness.is_fresh(now) {
+            return None;
+        }
+        let connections = self.settings.connections;
+        let config = self.config.value();
+        let upstreams = &self.upstreams;
+        let (key, (upstream, address)) = self.queue.list().into_iter().find_map(|(deadline, key, service)| {
+            let slot = upstreams.find_slot(&service, config, connections)?;
+            (deadline > now).then_some((key, slot))
+        })?;
+        let (deadline, order) = self.queue.take(&key)?;
+        Some((deadline, order, upstream, address))
+    }
+
+    fn unqueue(&mut self, now: MonoTime, key: &TaskKey, reason: BounceReason) -> TaskResult {
+        self.queue.take(key);
+        let attempt = self.records.note_unqueued(now, key);
+        bounce(key.clone(), attempt, reason)
+    }
+}
+
+fn bounce(key: TaskKey, attempt: u32, reason: BounceReason) -> TaskResult {
+    TaskResult { key, attempt, status: TaskStatus::Bounced(reason), run_ms: Millis(0) }
+}
+
+/// Returns the outcome of a task whose record is no longer kept.
+fn dropped_result(key: &TaskKey) -> TaskResult {
+    let status = TaskStatus::Ended(TaskOutcome::Unknown(UnknownReason::AnswerDropped));
+    TaskResult { key: key.clone(), attempt: 0, status, run_ms: Millis(0) }
+}
--- /dev/null
+++ b/crates/control/src/gate/task_records.rs
@@ -0,0 +1,258 @@
+//! The gate's memory of tasks: what started, what ended, and what must never start.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use vanillacleat_core::frames::{BounceReason, FenceInventory, HomeFence, TaskResult, TaskStatus};
+use vanillacleat_core::ids::{HomeKey, TaskKey};
+use vanillacleat_core::outcome::{TaskOutcome, UnknownReason};
+use vanillacleat_core::units::{Generation, Millis, MonoTime};
+
+use super::{bounce, dropped_result};
+
+/// A `TaskState` is where a task stands at this gate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum TaskState {
+    Queued { attempt: u32 },
+    Running { attempt: u32, is_abandoned: bool },
+    Ended { outcome: Option<TaskOutcome>, run_ms: Millis },
+    Refused { stamp: AttemptStamp },
+}
+
+/// An `AttemptStamp` orders the sendings of a task over all owners of its home.
+pub(super) type AttemptStamp = (Generation, u32);
+
+/// A `TaskRecords` remembers each task for the retention window, and answers within a byte budget.
+///
+/// A record is dropped a retention window after its task started or was refused. The window exceeds the lifetime of
+/// a ticket and the longest deadline, so every serial up to a dropped one has expired at its home: those are refused.
+#[derive(Debug)]
+pub(super) struct TaskRecords {
+    retention: Duration,
+    answer_bytes_max: usize,
+    answer_bytes: usize,
+    homes: BTreeMap<HomeKey, HomeTasks>,
+    by_age: VecDeque<(MonoTime, TaskKey)>,
+    answers: VecDeque<TaskKey>,
+    len: usize,
+}
+
+#[derive(Debug, Default)]
+struct HomeTasks {
+    generation: Generation,
+    expired_below: u64,
+    held: u32,
+    tasks: BTreeMap<(u64, u16), TaskState>,
+}
+
+impl TaskRecords {
+    pub(super) fn new(retention: Duration, answer_bytes_max: usize) -> Self {
+        Self {
+            retention,
+            answer_bytes_max,
+            answer_bytes: 0,
+            homes: BTreeMap::new(),
+            by_age: VecDeque::new(),
+            answers: VecDeque::new(),
+            len: 0,
+        }
+    }
+
+    /// Returns whether `generation` owns `home`, as far as is known here.
+    pub(super) fn obeys(&mut self, home: &HomeKey, generation: Generation) -> bool {
+        let tasks = self.home_mut(home);
+        tasks.generation = tasks.generation.max(generation);
+        generation >= tasks.generation
+    }
+
+    /// Raises the fence; returns whether it was lower.
+    pub(super) fn raise_fence(&mut self, fence: &HomeFence) -> bool {
+        let tasks = self.home_mut(&fence.home);
+        let is_higher = fence.generation > tasks.generation;
+        tasks.generation = tasks.generation.max(fence.generation);
+        is_higher
+    }
+
+    /// Returns what is known of a task, or nothing if the attempt `stamp` is news.
+    pub(super) fn find(&self, key: &TaskKey, stamp: AttemptStamp) -> Option<TaskResult> {
+        let home = self.homes.get(&key.home)?;
+        let Some(state) = home.tasks.get(&(key.serial, key.task)) else {
+            return (key.serial < home.expired_below).then(|| dropped_result(key));
+        };
+        match state {
+            TaskState::Refused { stamp: refused } if stamp > *refused => None,
+            TaskState::Refused { .. } => Some(bounce(key.clone(), stamp.1, BounceReason::Reclaimed)),
+            known => Some(make_result(key, known)),
+        }
+    }
+
+    pub(super) fn note_queued(&mut self, key: &TaskKey, attempt: u32) {
+        self.set(key, TaskState::Queued { attempt });
+        self.home_mut(&key.home).held += 1;
+    }
+
+    /// Notes that a queued task left the queue without having started; returns its attempt.
+    pub(super) fn note_unqueued(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
+        self.refuse_held(now, key)
+    }
+
+    /// Notes that a task, counted as started, never left this host; returns its attempt.
+    pub(super) fn note_unstarted(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
+        self.refuse_held(now, key)
+    }
+
+    fn refuse_held(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
+        let attempt = match self.find_mut(key) {
+            Some(TaskState::Queued { attempt } | TaskState::Running { attempt, .. }) => *attempt,
+            _ => unreachable!("a held task has a record"),
+        };
+        let home = self.home_mut(&key.home);
+        home.held -= 1;
+        let stamp = (home.generation, attempt);
+        self.note_refused(now, key, stamp);
+        attempt
+    }
+
+    pub(super) fn note_started(&mut self, now: MonoTime, key: &TaskKey) {
+        if let Some(state) = self.find_mut(key) {
+            if let TaskState::Queued { attempt } = *state {
+                *state = TaskState::Running { attempt, is_abandoned: false };
+            }
+        }
+        self.by_age.push_back((now, key.clone()));
+    }
+
+    /// Notes that no attempt up to `stamp` ever starts here.
+    pub(super) fn note_refused(&mut self, now: MonoTime, key: &TaskKey, stamp: AttemptStamp) {
+        self.set(key, TaskState::Refused { stamp });
+        self.by_age.push_back((now, key.clone()));
+    }
+
+    pub(super) fn note_abandoned(&mut self, key: &TaskKey) {
+        if let Some(TaskState::Running { is_abandoned, .. }) = self.find_mut(key) {
+            *is_abandoned = true;
+        }
+    }
+
+    /// Notes a task's end; returns whether its home still wants the result.
+    pub(super) fn note_ended(&mut self, key: &TaskKey, outcome: TaskOutcome, run_ms: Millis) -> bool {
+        let is_abandoned = matches!(self.find_mut(key), Some(TaskState::Running { is_abandoned: true, .. }));
+        self.answer_bytes += outcome_bytes(&outcome);
+        self.set(key, TaskState::Ended { outcome: Some(outcome), run_ms });
+        let home = self.home_mut(&key.home);
+        home.held -= 1;
+        self.answers.push_back(key.clone());
+        self.drop_answers();
+        !is_abandoned
+    }
+
+    /// Returns all started tasks of `home`. Running ones are wanted again, by the new owner.
+    pub(super) fn take_inventory(&mut self, home: &HomeKey) -> FenceInventory {
+        let tasks = self.home_mut(home);
+        let mut started = Vec::new();
+        for ((serial, task), state) in &mut tasks.tasks {
+            if let TaskState::Running { is_abandoned, .. } = state {
+                *is_abandoned = false;
+            }
+            if matches!(state, TaskState::Running { .. } | TaskState::Ended { .. }) {
+                let key = TaskKey { home: home.clone(), serial: *serial, task: *task };
+                started.push(make_result(&key, state));
+            }
+        }
+        FenceInventory { home: home.clone(), generation: tasks.generation, expired_below: tasks.expired_below, started }
+    }
+
+    /// Drops records older than the retention window; tasks that are still held are kept.
+    pub(super) fn forget_old(&mut self, now: MonoTime) {
+        while let Some((at, key)) = self.by_age.front() {
+            if now.since(*at) <= self.retention {
+                return;
+            }
+            let key = key.clone();
+            self.by_age.pop_front();
+            if matches!(self.find_mut(&key), Some(TaskState::Running { .. } | TaskState::Queued { .. })) {
+                self.by_age.push_back((now, key));
+                continue;
+            }
+            self.forget(&key);
+        }
+    }
+
+    pub(super) fn held_of(&self, home: &HomeKey) -> u32 {
+        self.homes.get(home).map_or(0, |tasks| tasks.held)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    fn forget(&mut self, key: &TaskKey) {
+        let home = self.home_mut(&key.home);
+        home.expired_below = home.expired_below.max(key.serial + 1);
+        if let Some(state) = home.tasks.remove(&(key.serial, key.task)) {
+            self.len -= 1;
+            self.answer_bytes -= kept_bytes(&state);
+        }
+    }
+
+    /// Drops the oldest answers over the byte budget. That the tasks ran is still remembered.
+    fn drop_answers(&mut self) {
+        while self.answer_bytes > self.answer_bytes_max {
+            let Some(key) = self.answers.pop_front() else {
+                return;
+            };
+            let freed = match self.find_mut(&key) {
+                Some(TaskState::Ended { outcome, .. }) => outcome.take().map_or(0, |outcome| outcome_bytes(&outcome)),
+                _ => 0,
+            };
+            self.answer_bytes -= freed;
+        }
+    }
+
+    fn set(&mut self, key: &TaskKey, state: TaskState) {
+        let replaced = self.home_mut(&key.home).tasks.insert((key.serial, key.task), state);
+        self.len += usize::from(replaced.is_none());
+    }
+
+    fn home_mut(&mut self, home: &HomeKey) -> &mut HomeTasks {
+        if !self.homes.contains_key(home) {
+            self.homes.insert(home.clone(), HomeTasks::default());
+        }
+        self.homes.get_mut(home).expect("the home was just inserted")
+    }
+
+    fn find_mut(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
+        self.homes.get_mut(&key.home)?.tasks.get_mut(&(key.serial, key.task))
+    }
+}
+
+fn make_result(key: &TaskKey, state: &TaskState) -> TaskResult {
+    let held = |attempt| TaskResult { key: key.clone(), attempt, status: TaskStatus::Held, run_ms: Millis(0) };
+    match state {
+        TaskState::Queued { attempt } | TaskState::Running { attempt, .. } => held(*attempt),
+        TaskState::Refused { stamp } => bounce(key.clone(), stamp.1, BounceReason::Reclaimed),
+        TaskState::Ended { outcome, run_ms } => {
+            let outcome = outcome.clone().unwrap_or(TaskOutcome::Unknown(UnknownReason::AnswerDropped));
+            TaskResult { key: key.clone(), attempt: 0, status: TaskStatus::Ended(outcome), run_ms: *run_ms }
+        }
+    }
+}
+
+fn outcome_bytes(outcome: &TaskOutcome) -> usize {
+    match outcome {
+        TaskOutcome::Done(text) => text.len(),
+        TaskOutcome::Failed(text) => text.len(),
+        TaskOutcome::NotRun(_) | TaskOutcome::Unknown(_) => 0,
+    }
+}
+
+fn kept_bytes(state: &TaskState) -> usize {
+    match state {
+        TaskState::Ended { outcome: Some(outcome), .. } => outcome_bytes(outcome),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/control/src/team_limits.rs
@@ -0,0 +1,40 @@
+//! Divides each team's quota over the live entries without a message for each task.
+
+use std::collections::BTreeMap;
+
+use vanillacleat_core::ids::{EntryId, TeamName};
+
+/// A `TeamLimits` knows how much of each team's quota this entry may use.
+///
+/// Every entry tells the others its demand a team with its heartbeat. The quota is divided by demand, and an entry
+/// with none keeps a share of one so that its first task need not wait for a heartbeat.
+#[derive(Clone, Debug, Default)]
+pub struct TeamLimits {
+    peers: BTreeMap<EntryId, BTreeMap<TeamName, u32>>,
+}
+
+impl TeamLimits {
+    /// Notes the demand that a live peer told.
+    pub fn note_demand(&mut self, peer: &EntryId, demand: &[(TeamName, u32)]) {
+        self.peers.insert(peer.clone(), demand.iter().cloned().collect());
+    }
+
+    /// Forgets a peer that is no longer live; its share falls to the others.
+    pub fn forget_peer(&mut self, peer: &EntryId) {
+        self.peers.remove(peer);
+    }
+
+    /// Returns how many tasks of `team` this entry may have in flight, given its own demand.
+    ///
+    /// The shares of entries that heard the same demands add up to no more than the quota, but for the share of one
+    /// that each entry keeps.
+    pub fn share(&self, team: &TeamName, quota: u32, own_demand: u32) -> u32 {
+        if self.peers.is_empty() {
+            return quota;
+        }
+        let others: u64 = self.peers.values().map(|demand| u64::from(demand.get(team).copied().unwrap_or(0).max(1))).sum();
+        let own = u64::from(own_demand.max(1));
+        let share = u64::from(quota) * own / (own + others);
+        (share as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! What the daemons share: the control thread, settings files, logs, metrics and the HTTP server's settings.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod control_thread;
+mod http_server;
+mod logging;
+mod metrics_page;
+mod process_runtime;
+mod settings_file;
+mod signals;
+
+pub use control_thread::{spawn_control, ControlStep, EventSender, ThreadPause};
+pub use http_server::{server_config, ProblemReply, BODY_BYTES_MAX};
+pub use logging::init_logging;
+pub use metrics_page::{install_metrics, render_metrics};
+pub use process_runtime::ProcessRuntime;
+pub use settings_file::{load_settings, parse_settings, DaemonError};
+pub use signals::wait_for_stop;
--- /dev/null
+++ b/crates/entry/src/http_api.rs
@@ -0,0 +1,213 @@
+//! The callers' and operators' HTTP interface.
+
+use std::net::SocketAddr;
+
+use rocket::http::Status;
+use rocket::serde::json::{self, Json};
+use rocket::{catch, catchers, delete, get, post, put, routes, State};
+use tokio::sync::oneshot;
+use vanillacleat_control::entry::{CallerCall, CallerReply};
+use vanillacleat_core::api::{ChangeRequest, JobView, ProblemBody, TicketList};
+use vanillacleat_core::config::{ChangeOutcome, ConfigChange, ConfigValue};
+use vanillacleat_core::ids::{JobName, ServiceName, TeamName};
+use vanillacleat_core::job::{JobSpec, TaskDemand, TaskSpec, DEADLINE_MILLIS_DEFAULT};
+use vanillacleat_core::outcome::{CallRefusal, RefusalCode, TaskOutcome};
+use vanillacleat_core::ticket::Ticket;
+use vanillacleat_core::units::Millis;
+use vanillacleat_daemon::{render_metrics, server_config, EventSender, ProblemReply};
+
+use crate::control_loop::EntryInput;
+
+type Events = State<EventSender<EntryInput>>;
+type Reply<T> = Result<Json<T>, ProblemReply>;
+type JobBody<'r> = Result<Json<JobSpec>, json::Error<'r>>;
+
+/// Starts the server; it ends with the runtime.
+pub(crate) async fn start_server(address: SocketAddr, events: EventSender<EntryInput>) -> Result<(), Box<rocket::Error>> {
+    let jobs = routes![give_tickets, submit_job, submit_named, query_job, cancel_job, run_request];
+    let operators = routes![read_config, change_config, health, state, metrics];
+    let server = rocket::custom(server_config(address)).manage(events);
+    let server = server.mount("/", jobs).mount("/", operators).register("/", catchers![not_served]);
+    let server = server.ignite().await.map_err(Box::new)?;
+    tokio::spawn(server.launch());
+    Ok(())
+}
+
+#[post("/v1/tickets?<count>")]
+async fn give_tickets(events: &Events, count: Option<usize>) -> Reply<TicketList> {
+    match ask(events, CallerCall::Tickets(count.unwrap_or(1))).await? {
+        CallerReply::Tickets(tickets) => Ok(Json(TicketList { tickets: tickets.iter().map(Ticket::to_string).collect() })),
+        other => Err(refuse_reply(&other)),
+    }
+}
+
+#[put("/v1/jobs/<ticket>", data = "<spec>")]
+async fn submit_job(events: &Events, ticket: &str, spec: JobBody<'_>) -> Reply<JobView> {
+    let ticket = parse_ticket(ticket)?;
+    let spec = read_body(spec)?;
+    read_job(ask(events, CallerCall::Submit(ticket, spec)).await?)
+}
+
+#[put("/v1/jobs/by-name/<name>", data = "<spec>")]
+async fn submit_named(events: &Events, name: &str, spec: JobBody<'_>) -> Reply<JobView> {
+    let name: JobName = name.parse().map_err(bad_request)?;
+    let spec = read_body(spec)?;
+    read_job(ask(events, CallerCall::SubmitNamed(name, spec)).await?)
+}
+
+#[get("/v1/jobs/<ticket>")]
+async fn query_job(events: &Events, ticket: &str) -> Reply<JobView> {
+    let ticket = parse_ticket(ticket)?;
+    read_job(ask(events, CallerCall::Query(ticket)).await?)
+}
+
+#[delete("/v1/jobs/<ticket>")]
+async fn cancel_job(events: &Events, ticket: &str) -> Reply<JobView> {
+    let ticket = parse_ticket(ticket)?;
+    read_job(ask(events, CallerCall::Cancel(ticket)).await?)
+}
+
+#[post("/v1/requests/<service>?<team>&<idempotent>&<deadline_ms>", data = "<payload>")]
+async fn run_request(
+    events: &Events,
+    service: &str,
+    team: &str,
+    idempotent: Option<bool>,
+    deadline_ms: Option<u64>,
+    payload: String,
+) -> Result<String, ProblemReply> {
+    let service: ServiceName = service.parse().map_err(bad_request)?;
+    let team: TeamName = team.parse().map_err(bad_request)?;
+    let deadline_ms = deadline_ms.map_or(DEADLINE_MILLIS_DEFAULT, Millis);
+    let task = TaskSpec { payload, declared_ms: None, demand: TaskDemand::default() };
+    let spec = JobSpec { service, team, deadline_ms, tasks: vec![task] };
+    match ask(events, CallerCall::Request(spec, idempotent.unwrap_or(false))).await? {
+        CallerReply::Answer(answer) => read_outcome(&answer.outcomes[0]),
+        other => Err(refuse_reply(&other)),
+    }
+}
+
+#[get("/v1/config")]
+async fn read_config(events: &Events) -> Reply<ConfigValue> {
+    match ask(events, CallerCall::ReadConfig).await? {
+        CallerReply::Config(value) => Ok(Json(*value)),
+        other => Err(refuse_reply(&other)),
+    }
+}
+
+#[post("/v1/config/changes", data = "<change>")]
+async fn change_config(events: &Events, change: Result<Json<ChangeRequest>, json::Error<'_>>) -> Reply<ChangeOutcome> {
+    let ChangeRequest { id, based_on, edits } = read_body(change)?;
+    match ask(events, CallerCall::Change(ConfigChange { id, based_on, edits })).await? {
+        CallerReply::Changed(outcome) => Ok(Json(outcome)),
+        other => Err(refuse_reply(&other)),
+    }
+}
+
+#[get("/v1/health")]
+async fn health(events: &Events) -> (Status, &'static str) {
+    match ask(events, CallerCall::Dump).await {
+        Ok(CallerReply::Dump(state)) if state["draining"] == false => (Status::Ok, "ready\n"),
+        _ => (Status::ServiceUnavailable, "not ready\n"),
+    }
+}
+
+#[get("/v1/state")]
+async fn state(events: &Events) -> Reply<serde_json::Value> {
+    match ask(events, CallerCall::Dump).await? {
+        CallerReply::Dump(state) => Ok(Json(state)),
+        other => Err(refuse_reply(&other)),
+    }
+}
+
+#[get("/metrics")]
+fn metrics() -> String {
+    render_metrics()
+}
+
+#[catch(default)]
+fn not_served(status: Status, _: &rocket::Request<'_>) -> ProblemReply {
+    let refusal = CallRefusal::new(RefusalCode::BadRequest, format!("the call is not served: status {}", status.code));
+    ProblemReply { status, ..write_refusal(&refusal) }
+}
+
+async fn ask(events: &Events, call: CallerCall) -> Result<CallerReply, ProblemReply> {
+    let (target, reply) = oneshot::channel();
+    events.send(EntryInput::Call(call, target));
+    let lost = || write_refusal(&CallRefusal::new(RefusalCode::HomeUnreachable, "the entry has ended"));
+    reply.await.map_err(|_| lost())
+}
+
+fn parse_ticket(text: &str) -> Result<Ticket, ProblemReply> {
+    text.parse().map_err(|error: vanillacleat_core::Error| write_refusal(&CallRefusal::new(RefusalCode::TicketForged, error)))
+}
+
+fn read_body<T>(body: Result<Json<T>, json::Error<'_>>) -> Result<T, ProblemReply> {
+    match body {
+        Ok(body) => Ok(body.into_inner()),
+        Err(json::Error::Io(error)) => {
+            let reply = bad_request(format!("the body can't be read: {error}"));
+            Err(ProblemReply { status: Status::PayloadTooLarge, ..reply })
+        }
+        Err(json::Error::Parse(_, error)) => Err(bad_request(format!("the body is not valid: {error}"))),
+    }
+}
+
+fn read_job(reply: CallerReply) -> Reply<JobView> {
+    match reply {
+        CallerReply::Answer(answer) => Ok(Json(JobView::from_answer(&answer))),
+        CallerReply::Pending => Ok(Json(JobView::pending())),
+        other => Err(refuse_reply(&other)),
+    }
+}
+
+/// Returns a single request's answer. Its outcome stands as the code where it is not done.
+fn read_outcome(outcome: &TaskOutcome) -> Result<String, ProblemReply> {
+    let (status, ran, detail) = match outcome {
+        TaskOutcome::Done(text) => return Ok(text.clone()),
+        TaskOutcome::Failed(cause) => (Status::BadGateway, "yes", cause.to_string()),
+        TaskOutcome::NotRun(reason) => (Status::GatewayTimeout, "no", reason.as_str().to_owned()),
+        TaskOutcome::Unknown(reason) => (Status::GatewayTimeout, "unknown", reason.as_str().to_owned()),
+    };
+    let code = format!("request-{}", outcome.name().replace('_', "-"));
+    let body = ProblemBody { code, outcome: outcome.name().to_owned(), ran: ran.to_owned(), detail, retry_after_ms: None };
+    Err(ProblemReply { status, body })
+}
+
+fn refuse_reply(reply: &CallerReply) -> ProblemReply {
+    match reply {
+        CallerReply::Refused(refusal) => write_refusal(refusal),
+        _ => write_refusal(&CallRefusal::new(RefusalCode::BadRequest, "the call was answered in another way than asked")),
+    }
+}
+
+fn bad_request(problem: impl std::fmt::Display) -> ProblemReply {
+    write_refusal(&CallRefusal::new(RefusalCode::BadRequest, problem))
+}
+
+fn write_refusal(refusal: &CallRefusal) -> ProblemReply {
+    let ran = if refusal.code.proves_not_run() { "no" } else { "unknown" };
+    let body = ProblemBody {
+        code: refusal.code.to_string(),
+        outcome: "refused".to_owned(),
+        ran: ran.to_owned(),
+        detail: refusal.detail.to_string(),
+        retry_after_ms: refusal.retry_after_ms.map(|millis| millis.0),
+    };
+    ProblemReply { status: find_status(refusal.code), body }
+}
+
+fn find_status(code: RefusalCode) -> Status {
+    match code {
+        RefusalCode::BadRequest => Status::BadRequest,
+        RefusalCode::TicketForged => Status::Forbidden,
+        RefusalCode::TicketExpired => Status::Gone,
+        RefusalCode::BodyConflict | RefusalCode::ChangeConflict => Status::Conflict,
+        RefusalCode::JobMissing => Status::NotFound,
+        RefusalCode::NeverRunnable | RefusalCode::ServiceUnknown => Status::UnprocessableEntity,
+        RefusalCode::DeadlineInfeasible | RefusalCode::Overloaded => Status::TooManyRequests,
+        RefusalCode::Draining | RefusalCode::HomeUnreachable | RefusalCode::HomeFenced | RefusalCode::PlatformDown => {
+            Status::ServiceUnavailable
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,36 @@
+//! The entry daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use error_stack::Report;
+use vanillacleat_core::settings::EntrySettings;
+use vanillacleat_daemon::{init_logging, load_settings, DaemonError};
+use vanillacleat_entry::EntryDaemon;
+
+/// Runs an entry.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct EntryCommand {
+    /// Settings file in TOML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+fn run(command: &EntryCommand) -> Result<(), Report<DaemonError>> {
+    let settings = load_settings(&command.settings, EntrySettings::check)?;
+    EntryDaemon::start(&settings)?.run()
+}
+
+fn main() -> ExitCode {
+    let command = entry_command().run();
+    init_logging();
+    match run(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!("event=entry_failed cause={report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/streams.rs
@@ -0,0 +1,76 @@
+//! The two directions of an h2 stream, as frames.
+
+use std::future::poll_fn;
+use std::marker::PhantomData;
+
+use bytes::Bytes;
+use h2::{RecvStream, SendStream};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::codec::{encode_frame, FrameBuffer};
+use crate::errors::{closed_error, WireError};
+
+/// A `FrameSender` sends frames on one stream, at the pace that its reader allows.
+#[derive(Debug)]
+pub struct FrameSender<T> {
+    stream: SendStream<Bytes>,
+    frame: PhantomData<fn(T)>,
+}
+
+impl<T: Serialize> FrameSender<T> {
+    pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream, frame: PhantomData }
+    }
+
+    /// Sends a frame; returns once the transport has taken all of it, or fails if the stream has ended.
+    pub async fn send(&mut self, frame: &T) -> Result<(), WireError> {
+        let bytes = encode_frame(frame)?;
+        self.send_bytes(bytes, false).await
+    }
+
+    /// Sends the last frame of the stream.
+    pub async fn send_last(&mut self, frame: &T) -> Result<(), WireError> {
+        let bytes = encode_frame(frame)?;
+        self.send_bytes(bytes, true).await
+    }
+
+    async fn send_bytes(&mut self, mut bytes: Bytes, is_last: bool) -> Result<(), WireError> {
+        while !bytes.is_empty() {
+            self.stream.reserve_capacity(bytes.len());
+            let granted = poll_fn(|context| self.stream.poll_capacity(context)).await;
+            let granted = granted.ok_or_else(|| closed_error("the stream was reset"))?.map_err(closed_error)?;
+            let chunk = bytes.split_to(granted.min(bytes.len()));
+            let is_end = is_last && bytes.is_empty();
+            self.stream.send_data(chunk, is_end).map_err(closed_error)?;
+        }
+        Ok(())
+    }
+}
+
+/// A `FrameReceiver` reads frames from one stream.
+#[derive(Debug)]
+pub struct FrameReceiver<T> {
+    stream: RecvStream,
+    buffer: FrameBuffer,
+    frame: PhantomData<fn() -> T>,
+}
+
+impl<T: DeserializeOwned> FrameReceiver<T> {
+    pub(crate) fn new(stream: RecvStream) -> Self {
+        Self { stream, buffer: FrameBuffer::default(), frame: PhantomData }
+    }
+
+    /// Returns the next frame, or an error if it can't be read or the stream has ended.
+    pub async fn receive(&mut self) -> Result<T, WireError> {
+        loop {
+            if let Some(frame) = self.buffer.try_next()? {
+                return Ok(frame);
+            }
+            let data = self.stream.data().await;
+            let data = data.ok_or_else(|| closed_error("the stream ended"))?.map_err(closed_error)?;
+            self.buffer.extend(&data);
+            self.stream.flow_control().release_capacity(data.len()).map_err(closed_error)?;
+        }
+    }
+}
