--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -11,7 +11,7 @@
 use serde_json::{json, Value};
 use smol_str::SmolStr;
 use vanillacleat_core::frames::{
-    AgentFrame, AgentHello, EntryFrame, EntryWelcome, Envelope, FreshnessEcho, TaskDispatch, TaskResult, TaskResults,
+    AgentFrame, AgentHello, EntryFrame, EntryWelcome, Envelope, FreshnessEcho, SealReply, TaskDispatch, TaskResult, TaskResults,
 };
 use vanillacleat_core::ids::{HomeKey, TaskKey, UpstreamName, WorkerKey, ZoneName};
 use vanillacleat_core::job::TaskDemand;
@@ -284,6 +284,10 @@
                 }
                 self.send(session, AgentFrame::Inventory(inventory));
             }
+            EntryFrame::Seal(seal) => {
+                let is_kept = self.gate.seal(self.now, &seal);
+                self.send(session, AgentFrame::Sealed(SealReply { seal, is_kept }));
+            }
             EntryFrame::Config(value) => drop(self.gate.offer_config(*value)),
         }
     }
--- a/crates/control/src/entry/adoption.rs
+++ b/crates/control/src/entry/adoption.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use vanillacleat_core::frames::{EntryFrame, FenceInventory, HomeFence};
+use vanillacleat_core::frames::{EntryFrame, FenceInventory, HomeFence, WorkerNote};
 use vanillacleat_core::ids::{HomeKey, WorkerKey};
 use vanillacleat_core::units::{Generation, MonoTime};
 
@@ -22,6 +22,18 @@
 #[derive(Debug)]
 pub(super) struct AdoptionFlow {
     step: AdoptionStep,
+    prior: PriorOwners,
+}
+
+/// Who owned an adopted home before, as far as the claim tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum PriorOwners {
+    /// The home itself.
+    Original,
+    /// The home, then this entry run.
+    Second(HomeKey),
+    /// More than the claim tells.
+    Unknown,
 }
 
 #[derive(Debug, Serialize)]
@@ -48,11 +60,19 @@
             return;
         }
         self.log("adoption_started", format!("home={home}"));
+        let flow = AdoptionFlow { step: AdoptionStep::Reading { wanted: None }, prior: PriorOwners::Unknown };
+        self.adoptions.insert(home.clone(), flow);
         self.read_claim(home, None);
     }
 
+    fn set_step(&mut self, home: &HomeKey, step: AdoptionStep) {
+        if let Some(flow) = self.adoptions.get_mut(home) {
+            flow.step = step;
+        }
+    }
+
     fn read_claim(&mut self, home: &HomeKey, wanted: Option<Generation>) {
-        self.adoptions.insert(home.clone(), AdoptionFlow { step: AdoptionStep::Reading { wanted } });
+        self.set_step(home, AdoptionStep::Reading { wanted });
         self.call_platform(PlatformOp::ReadClaim(home.clone()), PendingOp::Adoption(home.clone()));
     }
 
@@ -77,13 +97,17 @@
     }
 
     fn wait_for_platform(&mut self, home: &HomeKey, wanted: Option<Generation>) {
-        let step = AdoptionStep::Waiting { until: self.now + CLAIM_RETRY, wanted };
-        self.adoptions.insert(home.clone(), AdoptionFlow { step });
+        self.set_step(home, AdoptionStep::Waiting { until: self.now + CLAIM_RETRY, wanted });
     }
 
     fn take_claim(&mut self, home: &HomeKey, wanted: Option<Generation>, version: StoreVersion, claim: Option<HomeClaim>) {
         let own = self.home().clone();
         let stored = claim.as_ref().map_or(Generation(0), |claim| claim.generation);
+        let prior = match (stored.0, claim.as_ref()) {
+            (0, _) => PriorOwners::Original,
+            (1, Some(claim)) => PriorOwners::Second(claim.owner.clone()),
+            _ => PriorOwners::Unknown,
+        };
         if let Some(claim) = claim {
             let is_mine = claim.owner == own;
             if is_mine && wanted == Some(stored) {
@@ -97,7 +121,7 @@
         }
         let generation = stored.next();
         let claim = HomeClaim { owner: own, address: self.address.clone(), generation };
-        self.adoptions.insert(home.clone(), AdoptionFlow { step: AdoptionStep::Claiming { generation } });
+        self.adoptions.insert(home.clone(), AdoptionFlow { step: AdoptionStep::Claiming { generation }, prior });
         self.call_platform(PlatformOp::WriteClaim(home.clone(), version, claim), PendingOp::Adoption(home.clone()));
     }
 
@@ -110,7 +134,7 @@
             answered: BTreeSet::new(),
             inventory: AdoptedInventory::default(),
         };
-        self.adoptions.insert(home.clone(), AdoptionFlow { step: AdoptionStep::Collecting(step) });
+        self.set_step(home, AdoptionStep::Collecting(step));
         self.fence_agents(&HomeFence { home: home.clone(), generation });
         self.finish_collected(home);
     }
@@ -137,7 +161,7 @@
 
     pub(super) fn take_inventory(&mut self, worker: &WorkerKey, told: FenceInventory) {
         let home = told.home.clone();
-        let Some(AdoptionFlow { step: AdoptionStep::Collecting(step) }) = self.adoptions.get_mut(&home) else {
+        let Some(AdoptionFlow { step: AdoptionStep::Collecting(step), .. }) = self.adoptions.get_mut(&home) else {
             return self.take_late_inventory(worker, told);
         };
         if told.generation != step.generation {
@@ -157,26 +181,51 @@
     }
 
     fn finish_collected(&mut self, home: &HomeKey) {
-        let Some(AdoptionFlow { step: AdoptionStep::Collecting(step) }) = self.adoptions.get(home) else {
+        let Some(AdoptionFlow { step: AdoptionStep::Collecting(step), prior }) = self.adoptions.get(home) else {
             return;
         };
         if !step.awaited.is_subset(&step.answered) && self.now < step.until {
             return;
         }
-        let used = self.peers.workers_of(home);
-        let is_whole = used.is_some_and(|used| used.iter().all(|worker| step.answered.contains(worker)));
-        let Some(AdoptionFlow { step: AdoptionStep::Collecting(step) }) = self.adoptions.remove(home) else {
+        let provable_from = self.find_provable(home, prior, &step.answered);
+        let Some(AdoptionFlow { step: AdoptionStep::Collecting(step), .. }) = self.adoptions.remove(home) else {
             return;
         };
         let started: usize = step.inventory.started.values().map(|job| job.len()).sum();
-        self.log("home_adopted", format!("home={home} generation={} started={started} whole={is_whole}", step.generation));
+        self.log("home_adopted", format!("home={home} generation={} started={started} provable_from={provable_from}", step.generation));
         self.counters.adopted += 1;
-        let inventory = AdoptedInventory { is_whole, ..step.inventory };
+        let inventory = AdoptedInventory { provable_from, ..step.inventory };
         self.ledger.own(home.clone(), step.generation, Some(inventory));
         self.keep_until_expired(home.clone());
         self.wake_parked(home);
     }
 
+    /// Returns the serial from which a task that no agent lists is proved never to have started.
+    ///
+    /// Every run that an earlier owner used must have answered, or have been lost before the ticket was given out.
+    fn find_provable(&self, home: &HomeKey, prior: &PriorOwners, answered: &BTreeSet<WorkerKey>) -> u64 {
+        let missing = |notes: &[WorkerNote]| {
+            let unanswered = notes.iter().filter(|note| !answered.contains(&note.worker));
+            unanswered.map(|note| note.unused_from.unwrap_or(u64::MAX)).max().unwrap_or(0)
+        };
+        let by_original = self.peers.workers_of(home).map_or(u64::MAX, |notes| missing(notes));
+        match prior {
+            PriorOwners::Original => by_original,
+            PriorOwners::Unknown => u64::MAX,
+            PriorOwners::Second(owner) => {
+                let own_notes = (owner == self.home()).then(|| self.fleet.worker_notes());
+                let notes = own_notes.or_else(|| self.peers.workers_of(owner).cloned());
+                // A second owner's notes count its own tickets, so they prove nothing of this home's.
+                let is_missing = notes.is_none_or(|notes| notes.iter().any(|note| !answered.contains(&note.worker)));
+                if is_missing {
+                    u64::MAX
+                } else {
+                    by_original
+                }
+            }
+        }
+    }
+
     pub(super) fn keep_until_expired(&mut self, home: HomeKey) {
         self.disown_at.push((self.now + self.policy.ticket_ms.to_duration(), home));
     }
--- a/crates/control/src/entry/mod.rs
+++ b/crates/control/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod requests;
 mod routing;
+mod seals;
 mod sessions;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -28,7 +29,7 @@
 use crate::breaker::BreakerBoard;
 use crate::config_holder::ConfigHolder;
 use crate::fleet::{FleetView, PlacementRule};
-use crate::ledger::{JobLedger, LedgerEffect};
+use crate::ledger::{JobLedger, JobPlace, LedgerEffect};
 use crate::quorum::WitnessBook;
 use crate::retry_budget::RetryBudget;
 use crate::run_times::RunTimes;
@@ -47,6 +48,7 @@
 use platform::{PendingOp, PlatformPacer};
 use requests::RequestFlow;
 use routing::ParkedCall;
+use seals::SealFlow;
 
 /// Time after which a silent process no longer counts in its availability zone.
 const WITNESS_SILENCE_MAX: Duration = Duration::from_secs(600);
@@ -88,6 +90,7 @@
     parked: Vec<ParkedCall>,
     forwarded: BTreeMap<CallId, ParkedCall>,
     requests: BTreeMap<ReplyId, RequestFlow>,
+    seals: BTreeMap<JobPlace, SealFlow>,
     nonces: BTreeMap<SessionId, VecDeque<(u64, MonoTime)>>,
     counters: EntryCounters,
     next_id: u64,
@@ -109,6 +112,8 @@
     pub reclaimed: u64,
     /// Cancels sent for tasks at agents.
     pub cancelled: u64,
+    /// Failed jobs sent to agents to be remembered.
+    pub seals: u64,
     /// Results that no job wanted.
     pub unwanted: u64,
     /// Freshness answers sent.
@@ -168,6 +173,7 @@
             parked: Vec::new(),
             forwarded: BTreeMap::new(),
             requests: BTreeMap::new(),
+            seals: BTreeMap::new(),
             nonces: BTreeMap::new(),
             counters: EntryCounters::default(),
             next_id: 0,
@@ -184,8 +190,6 @@
             self.awake_at = now;
         }
         self.now = self.now.max(now);
-        let is_proven = self.is_proven();
-        self.ledger.set_proven(is_proven);
         match event {
             EntryEvent::Caller { reply, call } => self.take_call(reply, call),
             EntryEvent::Agent { session, frame } => self.take_agent_frame(session, frame),
@@ -197,6 +201,7 @@
             EntryEvent::Tick => self.tick(),
         }
         self.place();
+        self.send_seals();
         std::mem::take(&mut self.actions)
     }
 
@@ -220,12 +225,15 @@
         self.apply(effects);
         self.close_silent_sessions();
         self.give_up_lost_workers();
+        self.dismiss_unsealed();
         let expired_below = self.mint.expired_below(self.now);
         let home = self.mint.home().clone();
         self.ledger.purge(&home, expired_below);
         self.disown_expired();
         self.witnesses.forget_silent(self.now, WITNESS_SILENCE_MAX);
         self.fleet.forget_lost(self.now, WITNESS_SILENCE_MAX);
+        self.fleet.forget_gone(expired_below);
+        self.peers.forget_workers(self.now, self.policy.ticket_ms.to_duration());
         self.call_peers();
         self.poll_platform();
         self.bind_names();
@@ -246,6 +254,7 @@
         for effect in effects {
             match effect {
                 LedgerEffect::Cancel { worker, task } => self.send_cancel(&worker, task),
+                LedgerEffect::Seal { place } => self.start_seal(place),
                 LedgerEffect::Answer { waiters, answer, .. } => {
                     let counter = if answer.is_complete() { &mut self.counters.jobs_complete } else { &mut self.counters.jobs_failed };
                     *counter += 1;
--- a/crates/control/src/entry/peers.rs
+++ b/crates/control/src/entry/peers.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use vanillacleat_core::config::ConfigValue;
-use vanillacleat_core::frames::{Envelope, HomeFence, HomeHandover, PeerCall, PeerGossip, PeerReply};
-use vanillacleat_core::ids::{EntryId, HomeKey, TeamName, WorkerKey};
+use vanillacleat_core::frames::{Envelope, HomeFence, HomeHandover, PeerCall, PeerGossip, PeerReply, WorkerNote};
+use vanillacleat_core::ids::{EntryId, HomeKey, TeamName};
 use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
 use vanillacleat_core::units::MonoTime;
 
@@ -41,7 +41,6 @@
     acked_version: u64,
     promised_at: Option<MonoTime>,
     owned: Vec<HomeFence>,
-    workers: Option<Vec<WorkerKey>>,
 }
 
 impl PeerView {
@@ -58,7 +57,6 @@
             acked_version: 0,
             promised_at: None,
             owned: Vec::new(),
-            workers: None,
         }
     }
 
@@ -82,6 +80,7 @@
     own_address: SmolStr,
     peers: BTreeMap<SmolStr, PeerView>,
     claims: BTreeMap<HomeKey, SmolStr>,
+    workers: BTreeMap<HomeKey, (MonoTime, Vec<WorkerNote>)>,
     announced_at: Option<MonoTime>,
     first_announced_at: Option<MonoTime>,
 }
@@ -90,7 +89,7 @@
     pub(super) fn new(own_address: SmolStr, seeds: Vec<SmolStr>) -> Self {
         let others = seeds.into_iter().filter(|seed| *seed != own_address);
         let peers = others.map(|seed| (seed, PeerView::new(MonoTime::ZERO))).collect();
-        Self { own_address, peers, claims: BTreeMap::new(), announced_at: None, first_announced_at: None }
+        Self { own_address, peers, claims: BTreeMap::new(), workers: BTreeMap::new(), announced_at: None, first_announced_at: None }
     }
 
     /// Takes the store's list of entries, read by a question sent at `asked_at`.
@@ -98,7 +97,7 @@
         let is_gapped = self.announced_at.is_none_or(|at| now.since(at) > PRESENCE_GAP_MAX);
         if is_gapped {
             // Others may have counted this entry as gone and used agents without telling it.
-            self.peers.values_mut().for_each(|peer| peer.workers = None);
+            self.workers.clear();
         }
         self.announced_at = Some(now);
         self.first_announced_at.get_or_insert(now);
@@ -157,9 +156,14 @@
         self.live(now).any(|(_, peer)| peer.home.as_ref() == Some(home))
     }
 
-    /// Returns the agent runs that `home` may have used, if it told this entry.
-    pub(super) fn workers_of(&self, home: &HomeKey) -> Option<&Vec<WorkerKey>> {
-        self.peers.values().find(|peer| peer.home.as_ref() == Some(home))?.workers.as_ref()
+    /// Returns the agent runs that the entry run `home` may have used, if it told this entry.
+    pub(super) fn workers_of(&self, home: &HomeKey) -> Option<&Vec<WorkerNote>> {
+        self.workers.get(home).map(|(_, workers)| workers)
+    }
+
+    /// Forgets what was told by entry runs whose tickets have expired since.
+    pub(super) fn forget_workers(&mut self, now: MonoTime, ticket_lifetime: Duration) {
+        self.workers.retain(|_, (at, _)| now.since(*at) < ticket_lifetime * 2);
     }
 
     /// Returns the newest fleet version of which every possible adopter has been told.
@@ -215,6 +219,12 @@
         }
     }
 
+    /// Tells the peers at the next tick, since the list of agent runs has changed.
+    pub(super) fn hurry_gossip(&mut self) {
+        let now = self.now;
+        self.peers.peers.values_mut().filter(|peer| peer.is_live(now)).for_each(|peer| peer.next_at = peer.next_at.min(now));
+    }
+
     fn call_peer_gossip(&mut self, address: SmolStr) {
         let call = CallId(self.make_id());
         let version = self.fleet.version();
@@ -222,7 +232,7 @@
         let is_news = peer.acked_version < version;
         peer.pending = Some((call, self.now, version));
         peer.told_version = peer.told_version.max(if is_news { version } else { 0 });
-        let workers = is_news.then(|| self.fleet.workers());
+        let workers = is_news.then(|| self.fleet.worker_notes());
         let gossip = PeerGossip { workers, ..self.make_gossip() };
         self.counters.gossips += 1;
         self.call_peer(call, address, PeerCall::Gossip(gossip), false);
@@ -288,6 +298,9 @@
         if let Some(Envelope { revision, body: PeerReply::Gossip(gossip) }) = reply {
             let is_same = peer.home.as_ref() == Some(&gossip.home);
             peer.acked_version = if is_same || peer.home.is_none() { version } else { 0 };
+            if version < self.fleet.version() {
+                peer.next_at = now;
+            }
             peer.promised_at = Some(asked_at);
             self.take_gossip(revision, gossip, Some(asked_at));
         }
@@ -314,14 +327,15 @@
         let peer = self.peers.peers.entry(gossip.address).or_insert_with(|| PeerView::new(now));
         if peer.home.as_ref() != Some(&gossip.home) {
             // A new run knows nothing of what was told to the earlier one.
-            (peer.told_version, peer.acked_version, peer.workers) = (0, 0, None);
+            (peer.told_version, peer.acked_version) = (0, 0);
         }
-        peer.home = Some(gossip.home);
+        peer.home = Some(gossip.home.clone());
         peer.is_draining = gossip.draining;
         peer.heard_at = Some(now);
         peer.owned = gossip.owned;
-        if let Some(workers) = gossip.workers {
-            peer.workers = Some(workers);
+        match gossip.workers {
+            Some(workers) => drop(self.peers.workers.insert(gossip.home, (now, workers))),
+            None => self.peers.workers.get_mut(&gossip.home).into_iter().for_each(|told| told.0 = now),
         }
         self.forget_silent_demand();
     }
--- a/crates/control/src/entry/requests.rs
+++ b/crates/control/src/entry/requests.rs
@@ -72,6 +72,11 @@
         self.route(internal, ticket, TicketCall::Submit(spec.into()));
     }
 
+    /// Returns whether nobody outside knows the ticket that is submitted for `reply`.
+    pub(super) fn is_private(&self, reply: ReplyId) -> bool {
+        self.requests.get(&reply).is_some_and(|flow| !matches!(flow.kind, FlowKind::Named(_)))
+    }
+
     pub(super) fn submit_bound(&mut self, internal: ReplyId, (_, ticket): NamedTicket) {
         if let Some(flow) = self.requests.get(&internal) {
             let call = TicketCall::Submit(flow.spec.clone());
--- a/crates/control/src/entry/routing.rs
+++ b/crates/control/src/entry/routing.rs
@@ -159,14 +159,18 @@
             LedgerFinding::Refused(refusal) => self.refuse(reply, refusal),
             LedgerFinding::Unused if self.is_draining => self.refuse_unused(reply, draining_refusal()),
             LedgerFinding::Unused => {
+                if let Some(refusal) = self.ledger.find_loss(&place, spec.tasks.len()) {
+                    return self.refuse(reply, refusal);
+                }
                 let view = self.admission_view(&spec);
                 let is_known = self.ledger.is_inventoried(&place);
                 if let Some(refusal) = view.find_refusal(&spec).filter(|_| !is_known) {
                     return self.refuse_unused(reply, refusal);
                 }
+                let is_private = self.is_private(reply);
                 let deadline = self.now + spec.deadline_ms.to_duration();
                 let rank = self.rank(deadline, view.estimate(spec.tasks.len()).unwrap_or_default());
-                let admission = JobAdmission { place, spec, digest, deadline, rank, waiter: Some(reply) };
+                let admission = JobAdmission { place, spec, digest, deadline, rank, waiter: Some(reply), is_private };
                 let effects = self.ledger.accept(self.now, admission);
                 self.apply(effects);
             }
--- /dev/null
+++ b/crates/control/src/entry/seals.rs
@@ -0,0 +1,102 @@
+//! Failed jobs are remembered at an agent before they are answered, so that no later owner of the home runs them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use vanillacleat_core::frames::{EntryFrame, HomeFence, JobSeal, SealReply};
+use vanillacleat_core::ids::HomeKey;
+use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
+use vanillacleat_core::units::{Millis, MonoTime};
+
+use super::EntryControl;
+use crate::ledger::JobPlace;
+use crate::SessionId;
+
+/// Time after which an unanswered seal is sent to another agent.
+const SEAL_RETRY: Duration = Duration::from_millis(200);
+/// Time after which callers are told to come back for the answer.
+const SEAL_WAIT: Duration = Duration::from_secs(1);
+
+/// A `SealFlow` is a failed job whose seal no agent has confirmed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SealFlow {
+    since: MonoTime,
+    retry_at: MonoTime,
+    tries: usize,
+}
+
+impl EntryControl {
+    pub(super) fn start_seal(&mut self, place: JobPlace) {
+        let flow = SealFlow { since: self.now, retry_at: self.now, tries: 0 };
+        self.seals.insert(place, flow);
+    }
+
+    /// Sends the seals that are due, in one frame for each home and agent.
+    pub(super) fn send_seals(&mut self) {
+        let now = self.now;
+        if !self.seals.values().any(|flow| now >= flow.retry_at) {
+            return;
+        }
+        let sessions = self.sealing_sessions();
+        let mut batch: BTreeMap<(SessionId, HomeKey), Vec<u64>> = BTreeMap::new();
+        let mut confirmed = Vec::new();
+        for (place, flow) in self.seals.iter_mut().filter(|(_, flow)| now >= flow.retry_at) {
+            flow.retry_at = now + SEAL_RETRY;
+            flow.tries += 1;
+            if sessions.is_empty() {
+                // No agent is left; whoever adopts the home later misses them all and runs nothing.
+                confirmed.push(place.clone());
+                continue;
+            }
+            let session = sessions[(place.serial as usize + flow.tries) % sessions.len()];
+            batch.entry((session, place.home.clone())).or_default().push(place.serial);
+        }
+        confirmed.into_iter().for_each(|place| self.release(&place));
+        for ((session, home), serials) in batch {
+            if let Some(generation) = self.ledger.generation(&home) {
+                self.counters.seals += serials.len() as u64;
+                self.send(session, EntryFrame::Seal(JobSeal { fence: HomeFence { home, generation }, serials }));
+            }
+        }
+    }
+
+    /// Returns the sessions of agents that every possible adopter knows this entry to use.
+    fn sealing_sessions(&self) -> Vec<SessionId> {
+        let announced = self.peers.announced_version(self.now, self.fleet.version());
+        let known = self.fleet.agents().filter(|view| view.joined_version <= announced);
+        known.filter_map(|view| view.session).collect()
+    }
+
+    pub(super) fn take_sealed(&mut self, reply: SealReply) {
+        let SealReply { seal, is_kept } = reply;
+        if self.ledger.generation(&seal.fence.home) != Some(seal.fence.generation) {
+            return;
+        }
+        if !is_kept {
+            return self.lose_home(&seal.fence.home);
+        }
+        for serial in seal.serials {
+            self.release(&JobPlace { home: seal.fence.home.clone(), serial });
+        }
+    }
+
+    fn release(&mut self, place: &JobPlace) {
+        self.seals.remove(place);
+        let effects = self.ledger.release(place);
+        self.apply(effects.into_iter().collect());
+    }
+
+    /// Tells the callers of jobs that could not be sealed to come back; the answer is kept for them.
+    pub(super) fn dismiss_unsealed(&mut self) {
+        let now = self.now;
+        let late: Vec<JobPlace> =
+            self.seals.iter().filter(|(_, flow)| now.since(flow.since) >= SEAL_WAIT).map(|(place, _)| place.clone()).collect();
+        for place in late {
+            for waiter in self.ledger.dismiss_waiters(&place) {
+                let refusal =
+                    CallRefusal::new(RefusalCode::HomeUnreachable, "the job is decided and no agent can be reached to remember it");
+                self.refuse(waiter, refusal.retry_after(Millis(500)));
+            }
+        }
+    }
+}
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -37,6 +37,7 @@
             AgentFrame::Ask(ask) => self.take_ask(session, &worker, &zone, frame.revision, ask),
             AgentFrame::Results(results) => self.take_results(session, &worker, results),
             AgentFrame::Inventory(inventory) => self.take_inventory(&worker, inventory),
+            AgentFrame::Sealed(reply) => self.take_sealed(reply),
             AgentFrame::ConfigWanted => self.send_config(session),
         }
     }
@@ -45,7 +46,7 @@
         self.hear_revision(revision);
         let worker = hello.worker.clone();
         self.witnesses.note(self.now, worker.agent.as_str(), &hello.zone, revision, None);
-        let meaning = self.fleet.note_hello(self.now, session, &hello);
+        let meaning = self.fleet.note_hello(self.now, session, &hello, self.mint.next_serial());
         let mut entries = self.peers.addresses(self.now);
         entries.push(self.address.clone());
         self.send(session, EntryFrame::Welcome(EntryWelcome { home: self.home().clone(), entries }));
@@ -63,6 +64,7 @@
                 self.apply(effects);
             }
         }
+        self.hurry_gossip();
         self.note_outstanding(&worker);
         self.fence_late_agent(session, &worker);
     }
@@ -82,7 +84,7 @@
 
     pub(super) fn lose_session(&mut self, session: SessionId) {
         self.nonces.remove(&session);
-        if let Some(worker) = self.fleet.note_lost(self.now, session) {
+        if let Some(worker) = self.fleet.note_lost(self.now, session, self.mint.next_serial()) {
             self.log("agent_lost", format!("agent={} outstanding={}", worker, self.ledger.sent_count(&worker)));
         }
     }
@@ -188,6 +190,7 @@
             return;
         }
         self.log("home_fenced", format!("home={home}"));
+        self.seals.retain(|place, _| place.home != *home);
         let waiters = self.ledger.fence(home);
         if self.home() == home {
             self.rotate_home();
--- a/crates/control/src/fleet/agent_view.rs
+++ b/crates/control/src/fleet/agent_view.rs
@@ -42,6 +42,8 @@
     pub heard_at: MonoTime,
     /// When the session broke.
     pub lost_at: Option<MonoTime>,
+    /// While the session is broken, the serial from which no ticket can have used this run.
+    pub unused_from: Option<u64>,
     /// The fleet's version in which this run appeared.
     pub joined_version: u64,
     /// When this run was first seen.
@@ -63,6 +65,7 @@
             outstanding: 0,
             heard_at: now,
             lost_at: None,
+            unused_from: None,
             joined_version,
             first_seen: now,
             paused_until: MonoTime::ZERO,
@@ -84,8 +87,9 @@
         self.paused_until = self.paused_until.max(now + BOUNCE_PAUSE);
     }
 
-    pub(super) fn note_lost(&mut self, now: MonoTime) {
+    pub(super) fn note_lost(&mut self, now: MonoTime, next_serial: u64) {
         self.session = None;
+        self.unused_from = Some(next_serial);
         self.lost_at = Some(now);
         if now.since(self.flapped_at) > FLAP_WINDOW {
             self.flaps = 0;
@@ -98,6 +102,7 @@
         self.session = Some(session);
         self.heard_at = now;
         self.lost_at = None;
+        self.unused_from = None;
         self.capacity = hello.capacity;
         self.zone.clone_from(&hello.zone);
         self.note_load(&hello.load);
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use vanillacleat_core::config::ConfigValue;
-use vanillacleat_core::frames::{AgentHello, LoadReport};
+use vanillacleat_core::frames::{AgentHello, LoadReport, WorkerNote};
 use vanillacleat_core::ids::{AgentId, ServiceName, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::units::MonoTime;
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 pub struct FleetView {
     agents: BTreeMap<AgentId, AgentView>,
+    gone: Vec<WorkerNote>,
     version: u64,
 }
 
@@ -36,29 +37,46 @@
 }
 
 impl FleetView {
-    /// Notes an agent's hello on `session`.
-    pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello) -> HelloMeaning {
+    /// Notes an agent's hello on `session`, while `next_serial` is the next ticket's.
+    pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello, next_serial: u64) -> HelloMeaning {
         let agent = &hello.worker.agent;
         let earlier = self.agents.get_mut(agent);
+        self.version += 1;
         if let Some(view) = earlier.filter(|view| view.worker == hello.worker) {
             view.note_back(now, session, hello);
+            // The others must hear that the run is used again before it is.
+            view.joined_version = self.version;
             return HelloMeaning::Returned;
         }
-        self.version += 1;
         let view = AgentView::new(now, session, hello, self.version);
         match self.agents.insert(agent.clone(), view) {
-            Some(view) => HelloMeaning::Restarted(view.worker),
+            Some(view) => {
+                self.note_gone(&view, next_serial);
+                HelloMeaning::Restarted(view.worker)
+            }
             None => HelloMeaning::Joined,
         }
     }
 
-    /// Notes that `session` broke; returns the agent run it belonged to.
-    pub fn note_lost(&mut self, now: MonoTime, session: SessionId) -> Option<WorkerKey> {
+    /// Notes that `session` broke, while `next_serial` is the next ticket's; returns the agent run it belonged to.
+    pub fn note_lost(&mut self, now: MonoTime, session: SessionId, next_serial: u64) -> Option<WorkerKey> {
         let view = self.agents.values_mut().find(|view| view.session == Some(session))?;
-        view.note_lost(now);
+        view.note_lost(now, next_serial);
+        self.version += 1;
         Some(view.worker.clone())
     }
 
+    /// Remembers a lost run until every ticket that may have used it has expired.
+    fn note_gone(&mut self, view: &AgentView, next_serial: u64) {
+        let unused_from = view.unused_from.unwrap_or(next_serial);
+        self.gone.push(WorkerNote { worker: view.worker.clone(), unused_from: Some(unused_from) });
+    }
+
+    /// Forgets lost runs that only expired tickets can have used.
+    pub fn forget_gone(&mut self, expired_below: u64) {
+        self.gone.retain(|note| note.unused_from.is_none_or(|serial| serial > expired_below));
+    }
+
     /// Notes that the agent was heard.
     pub fn note_heard(&mut self, now: MonoTime, agent: &AgentId) {
         if let Some(view) = self.agents.get_mut(agent) {
@@ -113,9 +131,10 @@
         self.version
     }
 
-    /// Returns every known agent run.
-    pub fn workers(&self) -> Vec<WorkerKey> {
-        self.agents.values().map(|view| view.worker.clone()).collect()
+    /// Returns every agent run that tickets which have not expired may have used or may use.
+    pub fn worker_notes(&self) -> Vec<WorkerNote> {
+        let known = self.agents.values().map(|view| WorkerNote { worker: view.worker.clone(), unused_from: view.unused_from });
+        self.gone.iter().cloned().chain(known).collect()
     }
 
     /// Returns the runs that have been lost for `grace` or longer.
@@ -126,7 +145,11 @@
 
     /// Forgets agents lost for `age` or longer.
     pub fn forget_lost(&mut self, now: MonoTime, age: Duration) {
-        self.agents.retain(|_, view| view.lost_at.is_none_or(|at| now.since(at) < age));
+        let is_kept = |view: &AgentView| view.lost_at.is_none_or(|at| now.since(at) < age);
+        let forgotten = self.agents.values().filter(|view| !is_kept(view));
+        let notes = forgotten.map(|view| WorkerNote { worker: view.worker.clone(), unused_from: view.unused_from });
+        self.gone.extend(notes);
+        self.agents.retain(|_, view| is_kept(view));
     }
 
     /// Returns how many agents serve `service`.
--- a/crates/control/src/gate/mod.rs
+++ b/crates/control/src/gate/mod.rs
@@ -10,7 +10,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use vanillacleat_core::config::ConfigValue;
-use vanillacleat_core::frames::{BounceReason, FenceInventory, HomeFence, LoadReport, TaskAttempt, TaskOrder, TaskResult, TaskStatus};
+use vanillacleat_core::frames::{
+    BounceReason, FenceInventory, HomeFence, JobSeal, LoadReport, TaskAttempt, TaskOrder, TaskResult, TaskStatus,
+};
 use vanillacleat_core::ids::{HomeKey, ServiceName, TaskKey, UpstreamName, ZoneName};
 use vanillacleat_core::outcome::{TaskOutcome, UnknownReason};
 use vanillacleat_core::settings::GateSettings;
@@ -188,6 +190,15 @@
         self.records.take_inventory(&fence.home)
     }
 
+    /// Remembers that jobs are answered as failed; returns whether the owner is obeyed.
+    pub fn seal(&mut self, now: MonoTime, seal: &JobSeal) -> bool {
+        let is_owner = self.records.obeys(&seal.fence.home, seal.fence.generation);
+        if is_owner {
+            self.records.seal(now, &seal.fence.home, &seal.serials);
+        }
+        is_owner
+    }
+
     /// Notes a task's end. Returns what its home should hear, if anything.
     pub fn finish(&mut self, key: &TaskKey, upstream: &UpstreamName, outcome: TaskOutcome, run: Duration) -> Option<TaskResult> {
         self.upstreams.note_ended(upstream);
--- a/crates/control/src/gate/task_records.rs
+++ b/crates/control/src/gate/task_records.rs
@@ -42,6 +42,7 @@
     generation: Generation,
     expired_below: u64,
     held: u32,
+    sealed: BTreeMap<u64, MonoTime>,
     tasks: BTreeMap<(u64, u16), TaskState>,
 }
 
@@ -159,11 +160,30 @@
                 started.push(make_result(&key, state));
             }
         }
-        FenceInventory { home: home.clone(), generation: tasks.generation, expired_below: tasks.expired_below, started }
+        let sealed = tasks.sealed.keys().copied().collect();
+        FenceInventory { home: home.clone(), generation: tasks.generation, expired_below: tasks.expired_below, started, sealed }
+    }
+
+    /// Remembers jobs that their home's owner answers as failed.
+    pub(super) fn seal(&mut self, now: MonoTime, home: &HomeKey, serials: &[u64]) {
+        let tasks = self.home_mut(home);
+        tasks.sealed.extend(serials.iter().map(|serial| (*serial, now)));
+    }
+
+    /// Drops seals older than the retention window; their tickets have expired.
+    fn forget_seals(&mut self, now: MonoTime) {
+        let retention = self.retention;
+        for tasks in self.homes.values_mut() {
+            let is_old = |at: &MonoTime| now.since(*at) > retention;
+            let newest_old = tasks.sealed.iter().filter(|(_, at)| is_old(at)).map(|(serial, _)| *serial + 1).max();
+            tasks.expired_below = tasks.expired_below.max(newest_old.unwrap_or(0));
+            tasks.sealed.retain(|_, at| !is_old(at));
+        }
     }
 
     /// Drops records older than the retention window; tasks that are still held are kept.
     pub(super) fn forget_old(&mut self, now: MonoTime) {
+        self.forget_seals(now);
         while let Some((at, key)) = self.by_age.front() {
             if now.since(*at) <= self.retention {
                 return;
--- a/crates/control/src/ledger/home_record.rs
+++ b/crates/control/src/ledger/home_record.rs
@@ -1,6 +1,6 @@
 //! The jobs of one home, open and answered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use vanillacleat_core::frames::{FenceInventory, HandedAnswer, TaskStatus};
@@ -16,10 +16,12 @@
 /// An `AdoptedInventory` is what all agents together know of an adopted home's tasks.
 #[derive(Clone, Debug, Default)]
 pub struct AdoptedInventory {
-    /// Whether a task that is not listed is proved never to have started.
-    pub is_whole: bool,
+    /// From this serial on, a task that is not listed is proved never to have started.
+    pub provable_from: u64,
     /// Serials below this one are forgotten by some agent.
     pub expired_below: u64,
+    /// Jobs that an earlier owner answered as failed.
+    pub sealed: BTreeSet<u64>,
     /// Started tasks by serial and index.
     pub started: BTreeMap<u64, BTreeMap<u16, (WorkerKey, TaskStatus)>>,
 }
@@ -28,6 +30,7 @@
     /// Adds what one agent told.
     pub fn merge(&mut self, worker: &WorkerKey, told: FenceInventory) {
         self.expired_below = self.expired_below.max(told.expired_below);
+        self.sealed.extend(told.sealed);
         for result in told.started {
             let job = self.started.entry(result.key.serial).or_default();
             job.insert(result.key.task, (worker.clone(), result.status));
@@ -52,10 +55,11 @@
     pub(super) state: JobState,
 }
 
-/// A `JobState` is open, or answered with the answer while it is kept.
+/// A `JobState` is open, then perhaps being sealed, then answered with the answer while it is kept.
 #[derive(Debug)]
 pub(super) enum JobState {
     Open(Box<JobRecord>),
+    Sealing { answer: Arc<JobAnswer>, waiters: Vec<ReplyId> },
     Answered(Option<Arc<JobAnswer>>),
 }
 
@@ -78,8 +82,8 @@
             return vec![SlotState::Waiting { attempts: 0 }; tasks];
         };
         let mut started = inventory.started.remove(&serial).unwrap_or_default();
-        let is_whole = inventory.is_whole;
-        (0..tasks as u16).map(|task| adopted_slot(started.remove(&task), is_whole)).collect()
+        let is_provable = serial >= inventory.provable_from;
+        (0..tasks as u16).map(|task| adopted_slot(started.remove(&task), is_provable)).collect()
     }
 
     pub(super) fn purge(&mut self, expired_below: u64) {
@@ -89,39 +93,68 @@
         self.expired_below = expired_below;
         let young = self.jobs.split_off(&expired_below);
         let old = std::mem::replace(&mut self.jobs, young);
-        let open = old.into_iter().filter(|(_, job)| matches!(job.state, JobState::Open(_)));
+        let open = old.into_iter().filter(|(_, job)| !matches!(job.state, JobState::Answered(_)));
         self.jobs.extend(open);
     }
 
-    pub(super) fn open_serials(&self) -> Vec<u64> {
-        self.jobs.iter().filter(|(_, job)| matches!(job.state, JobState::Open(_))).map(|(serial, _)| *serial).collect()
+    pub(super) fn unanswered_serials(&self) -> Vec<u64> {
+        self.jobs.iter().filter(|(_, job)| !matches!(job.state, JobState::Answered(_))).map(|(serial, _)| *serial).collect()
     }
 
-    pub(super) fn answer(&mut self, serial: u64, is_proven: bool) -> (Vec<ReplyId>, Arc<JobAnswer>) {
+    /// Returns why an adopted home's job can't be served: what an earlier owner knew of it is lost.
+    pub(super) fn find_loss(&self, serial: u64, tasks: usize) -> Option<CallRefusal> {
+        let inventory = self.inventory.as_ref()?;
+        let started = inventory.started.get(&serial);
+        let is_dropped = |status: &TaskStatus| matches!(status, TaskStatus::Ended(TaskOutcome::Unknown(_)));
+        let has_dropped = started.is_some_and(|job| job.values().any(|(_, status)| is_dropped(status)));
+        let is_listed = started.is_some_and(|job| job.len() == tasks);
+        let is_lost = inventory.sealed.contains(&serial) || has_dropped || (serial < inventory.provable_from && !is_listed);
+        let detail = "an earlier owner of the ticket's home may have answered or run the job; it is not run again";
+        is_lost.then(|| CallRefusal::new(RefusalCode::AnswerLost, detail))
+    }
+
+    /// Fixes the answer of an open job whose tasks have all ended. A failed one is to be sealed first.
+    pub(super) fn decide(&mut self, serial: u64) -> (Vec<ReplyId>, Arc<JobAnswer>, bool) {
         let job = self.jobs.get_mut(&serial).expect("the job is open");
         let JobState::Open(record) = &mut job.state else {
-            unreachable!("a job is answered once");
+            unreachable!("a job is decided once");
         };
         let waiters = std::mem::take(&mut record.waiters);
-        let answer = Arc::new(record.take_answer(is_proven));
+        let needs_seal = !record.is_private;
+        let answer = Arc::new(record.take_answer());
+        let needs_seal = needs_seal && !answer.is_complete();
+        job.state = match needs_seal {
+            true => JobState::Sealing { answer: answer.clone(), waiters: waiters.clone() },
+            false => JobState::Answered(Some(answer.clone())),
+        };
+        (waiters, answer, needs_seal)
+    }
+
+    /// Releases the answer of a sealed job, once.
+    pub(super) fn release(&mut self, serial: u64) -> Option<(Vec<ReplyId>, Arc<JobAnswer>)> {
+        let job = self.jobs.get_mut(&serial)?;
+        let JobState::Sealing { answer, waiters } = &mut job.state else {
+            return None;
+        };
+        let (waiters, answer) = (std::mem::take(waiters), answer.clone());
         job.state = JobState::Answered(Some(answer.clone()));
-        (waiters, answer)
+        Some((waiters, answer))
     }
 
     pub(super) fn handed_answers(&self) -> Vec<HandedAnswer> {
         let answered = self.jobs.iter().filter_map(|(serial, job)| match &job.state {
             JobState::Answered(answer) => Some((serial, job.digest, answer)),
-            JobState::Open(_) => None,
+            JobState::Open(_) | JobState::Sealing { .. } => None,
         });
         answered.map(|(serial, digest, answer)| HandedAnswer { serial: *serial, digest, answer: answer.as_deref().cloned() }).collect()
     }
 }
 
-fn adopted_slot(known: Option<(WorkerKey, TaskStatus)>, is_whole: bool) -> SlotState {
+fn adopted_slot(known: Option<(WorkerKey, TaskStatus)>, is_provable: bool) -> SlotState {
     match known {
         Some((_, TaskStatus::Ended(outcome))) => SlotState::Ended(outcome),
         Some((worker, _)) => SlotState::Sent { worker, attempt: 0 },
-        None if is_whole => SlotState::Waiting { attempts: 0 },
+        None if is_provable => SlotState::Waiting { attempts: 0 },
         None => SlotState::Ended(TaskOutcome::Unknown(UnknownReason::HomeLost)),
     }
 }
--- a/crates/control/src/ledger/job_record.rs
+++ b/crates/control/src/ledger/job_record.rs
@@ -32,12 +32,13 @@
     pub(super) left: usize,
     pub(super) waiters: Vec<ReplyId>,
     pub(super) closing: Option<NotRunReason>,
+    pub(super) is_private: bool,
 }
 
 impl JobRecord {
     pub(super) fn new(spec: Arc<JobSpec>, deadline: MonoTime, rank: u64, slots: Vec<SlotState>, waiter: Option<ReplyId>) -> Self {
         let left = slots.iter().filter(|slot| !matches!(slot, SlotState::Ended(_))).count();
-        Self { spec, deadline, rank, slots, left, waiters: waiter.into_iter().collect(), closing: None }
+        Self { spec, deadline, rank, slots, left, waiters: waiter.into_iter().collect(), closing: None, is_private: false }
     }
 
     /// Takes a worker's word on the last of `attempts`. Returns nothing if the task waits again.
@@ -98,13 +99,9 @@
     }
 
     /// Returns the whole answer; every slot must have ended.
-    ///
-    /// Another owner of the home may have run what this one did not, so `not_run` is said only while the home is
-    /// proved to be owned.
-    pub(super) fn take_answer(&mut self, is_proven: bool) -> JobAnswer {
+    pub(super) fn take_answer(&mut self) -> JobAnswer {
         let slots = std::mem::take(&mut self.slots);
         let outcomes = slots.into_iter().map(|slot| match slot {
-            SlotState::Ended(TaskOutcome::NotRun(_)) if !is_proven => TaskOutcome::Unknown(UnknownReason::HomeLost),
             SlotState::Ended(outcome) => outcome,
             SlotState::Waiting { .. } | SlotState::Sent { .. } => unreachable!("an answer is whole"),
         });
--- a/crates/control/src/ledger/mod.rs
+++ b/crates/control/src/ledger/mod.rs
@@ -50,6 +50,8 @@
     pub rank: u64,
     /// Who waits for the answer.
     pub waiter: Option<ReplyId>,
+    /// Whether nobody outside of the entry knows the ticket.
+    pub is_private: bool,
 }
 
 /// A `LedgerEffect` is what the ledger wants done.
@@ -64,6 +66,11 @@
         /// The answer.
         answer: Arc<JobAnswer>,
     },
+    /// A job failed: its answer is given once an agent remembers that it is decided.
+    Seal {
+        /// The job.
+        place: JobPlace,
+    },
     /// A task should not start, or its result is no longer wanted.
     Cancel {
         /// Where it was sent.
@@ -98,7 +105,6 @@
     kept_bytes: usize,
     kept_bytes_max: usize,
     open_jobs: usize,
-    is_proven: bool,
 }
 
 impl JobLedger {
@@ -114,7 +120,6 @@
             kept_bytes: 0,
             kept_bytes_max,
             open_jobs: 0,
-            is_proven: true,
         }
     }
 
@@ -158,18 +163,22 @@
                 record.waiters.extend(waiter);
                 LedgerFinding::Attached
             }
+            JobState::Sealing { waiters, .. } => {
+                waiters.extend(waiter);
+                LedgerFinding::Attached
+            }
         }
     }
 
     /// Takes an admitted job; its place must be unused. Returns effects if the job is decided at once.
     pub fn accept(&mut self, now: MonoTime, admission: JobAdmission) -> Vec<LedgerEffect> {
-        let JobAdmission { place, spec, digest, deadline, rank, waiter } = admission;
+        let JobAdmission { place, spec, digest, deadline, rank, waiter, is_private } = admission;
         let Some(home) = self.homes.get_mut(&place.home) else {
             return Vec::new();
         };
         let slots = home.initial_slots(place.serial, spec.tasks.len());
         let is_decided = slots.iter().any(|slot| matches!(slot, SlotState::Ended(outcome) if !outcome.is_done()));
-        let record = JobRecord::new(spec, deadline, rank, slots, waiter);
+        let record = JobRecord { is_private, ..JobRecord::new(spec, deadline, rank, slots, waiter) };
         for (task, slot) in record.slots.iter().enumerate() {
             let key = make_key(&place, task);
             match slot {
@@ -186,7 +195,7 @@
         home.insert(place.serial, digest, JobState::Open(Box::new(record)));
         self.open_jobs += 1;
         if is_ended {
-            return vec![self.answer(&place)];
+            return vec![self.decide(&place)];
         }
         if is_decided {
             return self.close(now, &place, NotRunReason::JobFailed);
@@ -335,7 +344,7 @@
             return Vec::new();
         };
         record.is_fenced = true;
-        let open: Vec<u64> = record.open_serials();
+        let open: Vec<u64> = record.unanswered_serials();
         let mut waiters = Vec::new();
         for serial in open {
             waiters.extend(self.drop_open(&JobPlace { home: home.clone(), serial }));
@@ -404,11 +413,6 @@
         }
     }
 
-    /// Says whether the home is proved to be owned now. While it is not, `not_run` is never said of its tasks.
-    pub fn set_proven(&mut self, is_proven: bool) {
-        self.is_proven = is_proven;
-    }
-
     /// Returns how many tasks of `team` are sent and not yet reported.
     pub fn team_in_flight(&self, team: &TeamName) -> u32 {
         self.in_flight.get(team).copied().unwrap_or(0)
@@ -434,7 +438,7 @@
     fn open_record(&self, home: &HomeKey, serial: u64) -> Option<&JobRecord> {
         match &self.homes.get(home)?.jobs.get(&serial)?.state {
             JobState::Open(record) => Some(record),
-            JobState::Answered(_) => None,
+            JobState::Sealing { .. } | JobState::Answered(_) => None,
         }
     }
 
@@ -461,7 +465,7 @@
     fn end_task(&mut self, now: MonoTime, place: &JobPlace, outcome: EndedTask) -> Vec<LedgerEffect> {
         let is_last = self.open_record(&place.home, place.serial).is_some_and(|record| record.left == 0);
         if is_last {
-            return vec![self.answer(place)];
+            return vec![self.decide(place)];
         }
         match outcome {
             EndedTask::Done | EndedTask::Closing => Vec::new(),
@@ -483,7 +487,7 @@
         }
         record.close(reason);
         if record.left == 0 {
-            return vec![self.answer(place)];
+            return vec![self.decide(place)];
         }
         let sent = record.sent_slots();
         let cancels =
@@ -507,23 +511,52 @@
         if let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) {
             record.end_unreported();
         }
-        vec![self.answer(place)]
+        vec![self.decide(place)]
     }
 
-    fn answer(&mut self, place: &JobPlace) -> LedgerEffect {
+    fn decide(&mut self, place: &JobPlace) -> LedgerEffect {
         let home = self.homes.get_mut(&place.home).expect("an open job has a home");
-        let (waiters, answer) = home.answer(place.serial, self.is_proven);
+        let (waiters, answer, needs_seal) = home.decide(place.serial);
+        if needs_seal {
+            return LedgerEffect::Seal { place: place.clone() };
+        }
+        self.note_answered(place, waiters, answer)
+    }
+
+    fn note_answered(&mut self, place: &JobPlace, waiters: Vec<ReplyId>, answer: Arc<JobAnswer>) -> LedgerEffect {
         self.open_jobs -= 1;
         self.keep(place, Some(&answer));
         self.evict();
         LedgerEffect::Answer { place: place.clone(), waiters, answer }
     }
 
+    /// Gives the answer of a failed job that an agent remembers as decided.
+    pub fn release(&mut self, place: &JobPlace) -> Option<LedgerEffect> {
+        let (waiters, answer) = self.homes.get_mut(&place.home)?.release(place.serial)?;
+        Some(self.note_answered(place, waiters, answer))
+    }
+
+    /// Returns and forgets who waits for a failed job that no agent remembers as decided yet.
+    pub fn dismiss_waiters(&mut self, place: &JobPlace) -> Vec<ReplyId> {
+        let job = self.homes.get_mut(&place.home).and_then(|home| home.jobs.get_mut(&place.serial));
+        match job.map(|job| &mut job.state) {
+            Some(JobState::Sealing { waiters, .. }) => std::mem::take(waiters),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns why an adopted home's unsubmitted job can't be served.
+    pub fn find_loss(&self, place: &JobPlace, tasks: usize) -> Option<CallRefusal> {
+        self.homes.get(&place.home)?.find_loss(place.serial, tasks)
+    }
+
     fn drop_open(&mut self, place: &JobPlace) -> Vec<ReplyId> {
+        let mut waiters = self.dismiss_waiters(place);
         let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) else {
-            return Vec::new();
+            self.remove_unanswered(place);
+            return waiters;
         };
-        let waiters = std::mem::take(&mut record.waiters);
+        waiters.append(&mut record.waiters);
         for (task, slot) in record.slots.iter().enumerate() {
             if matches!(slot, SlotState::Waiting { .. }) {
                 self.queue.remove(record, &make_key(place, task));
@@ -533,11 +566,15 @@
         for (task, worker, _) in sent {
             self.unmark_sent(&worker, &make_key(place, task));
         }
+        self.remove_unanswered(place);
+        waiters
+    }
+
+    fn remove_unanswered(&mut self, place: &JobPlace) {
         if let Some(home) = self.homes.get_mut(&place.home) {
             home.jobs.remove(&place.serial);
             self.open_jobs -= 1;
         }
-        waiters
     }
 
     fn keep(&mut self, place: &JobPlace, answer: Option<&Arc<JobAnswer>>) {
@@ -573,6 +610,6 @@
 fn open_record_mut<'a>(homes: &'a mut BTreeMap<HomeKey, HomeRecord>, home: &HomeKey, serial: u64) -> Option<&'a mut JobRecord> {
     match &mut homes.get_mut(home)?.jobs.get_mut(&serial)?.state {
         JobState::Open(record) => Some(record),
-        JobState::Answered(_) => None,
+        JobState::Sealing { .. } | JobState::Answered(_) => None,
     }
 }
--- a/crates/core/src/frames.rs
+++ b/crates/core/src/frames.rs
@@ -30,6 +30,8 @@
     Results(TaskResults),
     /// Answers a fence with all that the agent knows of the home's tasks.
     Inventory(FenceInventory),
+    /// Answers a seal.
+    Sealed(SealReply),
     /// Asks for the configuration, after a frame showed a newer revision.
     ConfigWanted,
 }
@@ -153,6 +155,24 @@
     Draining,
 }
 
+/// A `JobSeal` names jobs of a home that are answered as failed, so that no later owner runs them again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSeal {
+    /// The home and the generation under which the sender owns it.
+    pub fence: HomeFence,
+    /// The jobs' serials.
+    pub serials: Vec<u64>,
+}
+
+/// A `SealReply` answers a [`JobSeal`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealReply {
+    /// The seal.
+    pub seal: JobSeal,
+    /// Whether the agent remembers it; it does not if the home has a newer owner.
+    pub is_kept: bool,
+}
+
 /// A `FenceInventory` lists what an agent knows of a home's tasks. After it, no older generation starts any.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FenceInventory {
@@ -164,6 +184,8 @@
     pub expired_below: u64,
     /// Started tasks, with their outcomes where they ended and are kept.
     pub started: Vec<TaskResult>,
+    /// Jobs that an owner answered as failed.
+    pub sealed: Vec<u64>,
 }
 
 /// An `EntryFrame` goes from an entry to an agent on a session.
@@ -181,6 +203,8 @@
     Reclaim(TaskRecall),
     /// Fences a home.
     Fence(HomeFence),
+    /// Asks that failed jobs be remembered as answered.
+    Seal(JobSeal),
     /// The configuration.
     Config(Box<ConfigValue>),
 }
@@ -290,14 +314,23 @@
     pub draining: bool,
     /// Whether the sender has had a proof since it started, so that it counts as a witness.
     pub is_settled: bool,
-    /// Agent runs that the sender may use; absent while the receiver has the newest list.
-    pub workers: Option<Vec<WorkerKey>>,
+    /// Agent runs that the sender used or may use; absent while the receiver has the newest list.
+    pub workers: Option<Vec<WorkerNote>>,
     /// Homes that the sender owns besides its own run.
     pub owned: Vec<HomeFence>,
     /// Tasks of each team that the sender has queued or in flight, for the division of quotas.
     pub demand: Vec<(TeamName, u32)>,
 }
 
+/// A `WorkerNote` says that an entry used or may use an agent run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerNote {
+    /// The agent run.
+    pub worker: WorkerKey,
+    /// For a lost run, the serial from which no ticket of the entry's own home can have used it.
+    pub unused_from: Option<u64>,
+}
+
 /// A `HomeHandover` carries a draining home to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HomeHandover {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -126,6 +126,9 @@
     TicketForged,
     /// The ticket's lifetime is over, or its answer is no longer kept.
     TicketExpired,
+    /// An earlier owner of the ticket's home may have answered or run the job, and what it knew is lost. The job is
+    /// never run again.
+    AnswerLost,
     /// Another body was submitted under the same ticket.
     BodyConflict,
     /// No job was submitted under the ticket.
@@ -157,6 +160,7 @@
             Self::BadRequest => "bad-request",
             Self::TicketForged => "ticket-forged",
             Self::TicketExpired => "ticket-expired",
+            Self::AnswerLost => "answer-lost",
             Self::BodyConflict => "body-conflict",
             Self::JobMissing => "job-missing",
             Self::NeverRunnable => "never-runnable",
--- a/crates/entry/src/http_api.rs
+++ b/crates/entry/src/http_api.rs
@@ -201,7 +201,7 @@
     match code {
         RefusalCode::BadRequest => Status::BadRequest,
         RefusalCode::TicketForged => Status::Forbidden,
-        RefusalCode::TicketExpired => Status::Gone,
+        RefusalCode::TicketExpired | RefusalCode::AnswerLost => Status::Gone,
         RefusalCode::BodyConflict | RefusalCode::ChangeConflict => Status::Conflict,
         RefusalCode::JobMissing => Status::NotFound,
         RefusalCode::NeverRunnable | RefusalCode::ServiceUnknown => Status::UnprocessableEntity,
