Find and close holes of adoption: strict proofs, draining entries that see who is gone

Change: below the provable serials an adopter refuses with answer-lost; a seal waits for an agent; draining entries go on renewing and refuse calls they would have to park.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -17,6 +17,16 @@
         /// Stays up afterwards, for trying the API by hand
         hold: bool,
     },
+    /// Runs an experiment: seeded work and faults over the programs' own code
+    #[bpaf(command)]
+    Load {
+        /// Settings of the experiment in TOML
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+        /// Writes the report as TOML
+        #[bpaf(argument("FILE"), optional)]
+        report: Option<PathBuf>,
+    },
     /// Submits a job and prints its answer
     #[bpaf(command)]
     Submit(#[bpaf(external(submit_options))] SubmitOptions),
--- a/crates/cli/src/deployment.rs
+++ b/crates/cli/src/deployment.rs
@@ -58,7 +58,6 @@
 }
 
 /// A `LocalDeployment` is a running deployment.
-#[allow(dead_code)]
 pub struct LocalDeployment {
     /// The entries; a killed one is absent.
     pub entries: Vec<Option<EntryDaemon>>,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod deployment;
+mod load;
 mod operators;
 mod quickstart;
 mod sheet;
@@ -16,6 +17,7 @@
     init_logging();
     let outcome = match command {
         CliCommand::Quickstart { hold } => quickstart::run(hold),
+        CliCommand::Load { settings, report } => load::run(&settings, report.as_deref()),
         CliCommand::Submit(options) => operators::submit(&options),
         CliCommand::Zone(change) => operators::change_zone(&change),
         CliCommand::Upstream(change) => operators::change_upstream(&change),
--- a/crates/control/src/entry/platform.rs
+++ b/crates/control/src/entry/platform.rs
@@ -139,7 +139,7 @@
             self.pacer.is_polling = true;
             self.call_platform(PlatformOp::ReadConfig, PendingOp::Poll { asked_at: self.now });
         }
-        if self.now >= self.pacer.presence_at && !self.pacer.is_announcing && !self.is_draining {
+        if self.now >= self.pacer.presence_at && !self.pacer.is_announcing {
             self.pacer.is_announcing = true;
             let presence = EntryPresence { home: self.home().clone(), zone: self.zone.clone(), address: self.address.clone() };
             self.call_platform(PlatformOp::Announce(presence), PendingOp::Presence { asked_at: self.now });
--- a/crates/control/src/entry/routing.rs
+++ b/crates/control/src/entry/routing.rs
@@ -109,7 +109,7 @@
             TicketCall::Submit(spec) => spec.deadline_ms.to_duration().min(PARK_MAX),
             TicketCall::Query | TicketCall::Cancel => PARK_MAX,
         };
-        if self.now.since(parked.since) >= wait_max {
+        if self.is_draining || self.now.since(parked.since) >= wait_max {
             let refusal = CallRefusal::new(RefusalCode::HomeUnreachable, "the ticket's home cannot be reached and could not be adopted");
             return self.refuse(parked.reply, refusal.retry_after(Millis(1_000)));
         }
@@ -159,7 +159,7 @@
             LedgerFinding::Refused(refusal) => self.refuse(reply, refusal),
             LedgerFinding::Unused if self.is_draining => self.refuse_unused(reply, draining_refusal()),
             LedgerFinding::Unused => {
-                if let Some(refusal) = self.ledger.find_loss(&place, spec.tasks.len()) {
+                if let Some(refusal) = self.ledger.find_loss(&place) {
                     return self.refuse(reply, refusal);
                 }
                 let view = self.admission_view(&spec);
--- a/crates/control/src/entry/seals.rs
+++ b/crates/control/src/entry/seals.rs
@@ -38,20 +38,17 @@
             return;
         }
         let sessions = self.sealing_sessions();
+        if sessions.is_empty() {
+            // Without an agent's word this entry may have been succeeded; the answer waits.
+            return;
+        }
         let mut batch: BTreeMap<(SessionId, HomeKey), Vec<u64>> = BTreeMap::new();
-        let mut confirmed = Vec::new();
         for (place, flow) in self.seals.iter_mut().filter(|(_, flow)| now >= flow.retry_at) {
             flow.retry_at = now + SEAL_RETRY;
             flow.tries += 1;
-            if sessions.is_empty() {
-                // No agent is left; whoever adopts the home later misses them all and runs nothing.
-                confirmed.push(place.clone());
-                continue;
-            }
             let session = sessions[(place.serial as usize + flow.tries) % sessions.len()];
             batch.entry((session, place.home.clone())).or_default().push(place.serial);
         }
-        confirmed.into_iter().for_each(|place| self.release(&place));
         for ((session, home), serials) in batch {
             if let Some(generation) = self.ledger.generation(&home) {
                 self.counters.seals += serials.len() as u64;
--- a/crates/control/src/ledger/home_record.rs
+++ b/crates/control/src/ledger/home_record.rs
@@ -6,7 +6,7 @@
 use vanillacleat_core::frames::{FenceInventory, HandedAnswer, TaskStatus};
 use vanillacleat_core::ids::WorkerKey;
 use vanillacleat_core::job::BodyDigest;
-use vanillacleat_core::outcome::{CallRefusal, JobAnswer, RefusalCode, TaskOutcome, UnknownReason};
+use vanillacleat_core::outcome::{CallRefusal, JobAnswer, RefusalCode, TaskOutcome};
 use vanillacleat_core::units::Generation;
 
 use super::job_record::{JobRecord, SlotState};
@@ -82,8 +82,7 @@
             return vec![SlotState::Waiting { attempts: 0 }; tasks];
         };
         let mut started = inventory.started.remove(&serial).unwrap_or_default();
-        let is_provable = serial >= inventory.provable_from;
-        (0..tasks as u16).map(|task| adopted_slot(started.remove(&task), is_provable)).collect()
+        (0..tasks as u16).map(|task| adopted_slot(started.remove(&task))).collect()
     }
 
     pub(super) fn purge(&mut self, expired_below: u64) {
@@ -102,13 +101,15 @@
     }
 
     /// Returns why an adopted home's job can't be served: what an earlier owner knew of it is lost.
-    pub(super) fn find_loss(&self, serial: u64, tasks: usize) -> Option<CallRefusal> {
+    ///
+    /// Below the provable serials an agent that can't be asked may hold a seal, so even a whole list of done tasks may
+    /// differ from an answer given before.
+    pub(super) fn find_loss(&self, serial: u64) -> Option<CallRefusal> {
         let inventory = self.inventory.as_ref()?;
         let started = inventory.started.get(&serial);
         let is_dropped = |status: &TaskStatus| matches!(status, TaskStatus::Ended(TaskOutcome::Unknown(_)));
         let has_dropped = started.is_some_and(|job| job.values().any(|(_, status)| is_dropped(status)));
-        let is_listed = started.is_some_and(|job| job.len() == tasks);
-        let is_lost = inventory.sealed.contains(&serial) || has_dropped || (serial < inventory.provable_from && !is_listed);
+        let is_lost = inventory.sealed.contains(&serial) || has_dropped || serial < inventory.provable_from;
         let detail = "an earlier owner of the ticket's home may have answered or run the job; it is not run again";
         is_lost.then(|| CallRefusal::new(RefusalCode::AnswerLost, detail))
     }
@@ -150,11 +151,10 @@
     }
 }
 
-fn adopted_slot(known: Option<(WorkerKey, TaskStatus)>, is_provable: bool) -> SlotState {
+fn adopted_slot(known: Option<(WorkerKey, TaskStatus)>) -> SlotState {
     match known {
         Some((_, TaskStatus::Ended(outcome))) => SlotState::Ended(outcome),
         Some((worker, _)) => SlotState::Sent { worker, attempt: 0 },
-        None if is_provable => SlotState::Waiting { attempts: 0 },
-        None => SlotState::Ended(TaskOutcome::Unknown(UnknownReason::HomeLost)),
+        None => SlotState::Waiting { attempts: 0 },
     }
 }
--- a/crates/control/src/ledger/mod.rs
+++ b/crates/control/src/ledger/mod.rs
@@ -546,8 +546,8 @@
     }
 
     /// Returns why an adopted home's unsubmitted job can't be served.
-    pub fn find_loss(&self, place: &JobPlace, tasks: usize) -> Option<CallRefusal> {
-        self.homes.get(&place.home)?.find_loss(place.serial, tasks)
+    pub fn find_loss(&self, place: &JobPlace) -> Option<CallRefusal> {
+        self.homes.get(&place.home)?.find_loss(place.serial)
     }
 
     fn drop_open(&mut self, place: &JobPlace) -> Vec<ReplyId> {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -40,8 +40,6 @@
     WorkerUnreachable,
     /// The task had started and the job was decided before it ended.
     StillRunning,
-    /// The task's home was lost and no proof that it never started could be had.
-    HomeLost,
     /// The task ran and its answer was no longer kept.
     AnswerDropped,
 }
@@ -53,7 +51,6 @@
             Self::WorkerRestarted => "worker_restarted",
             Self::WorkerUnreachable => "worker_unreachable",
             Self::StillRunning => "still_running",
-            Self::HomeLost => "home_lost",
             Self::AnswerDropped => "answer_dropped",
         }
     }
