Carry heartbeats on traffic; one heartbeat serves both of two entries

Change: every result frame asks and the next dispatch answers; a session is asked by itself only after a second without a frame, and one entry of two calls the other.

--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -11,7 +11,8 @@
 use serde_json::{json, Value};
 use smol_str::SmolStr;
 use vanillacleat_core::frames::{
-    AgentFrame, AgentHello, EntryFrame, EntryWelcome, Envelope, FreshnessEcho, SealReply, TaskDispatch, TaskResult, TaskResults,
+    AgentFrame, AgentHello, EntryFrame, EntryWelcome, Envelope, FreshnessAsk, FreshnessEcho, LoadReport, SealReply, TaskDispatch,
+    TaskResult, TaskResults,
 };
 use vanillacleat_core::ids::{HomeKey, TaskKey, UpstreamName, WorkerKey, ZoneName};
 use vanillacleat_core::job::TaskDemand;
@@ -25,8 +26,12 @@
 use dialer::EntryDialer;
 use session_view::SessionView;
 
-/// Time between two questions for freshness on one session.
-pub const ASK_PERIOD: Duration = Duration::from_millis(500);
+/// Time without a question from which a session is asked by a frame of its own.
+pub const ASK_PERIOD: Duration = Duration::from_secs(1);
+/// Age of the best proof from which it is renewed out of turn.
+const PROOF_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Shortest time between questions out of turn on one session.
+const HURRIED_ASK_PERIOD: Duration = Duration::from_millis(250);
 /// Time without a frame from which a session counts as broken.
 const SESSION_SILENCE_MAX: Duration = Duration::from_secs(5);
 /// Time between two events from which this process counts as having been stalled.
@@ -263,7 +268,7 @@
         match frame.body {
             EntryFrame::Welcome(welcome) => self.take_welcome(session, welcome),
             EntryFrame::Echo(echo) => self.take_echo(session, frame.revision, echo),
-            EntryFrame::Dispatch(dispatch) => self.take_dispatch(session, dispatch),
+            EntryFrame::Dispatch(dispatch) => self.take_dispatch(session, frame.revision, dispatch),
             EntryFrame::Cancel(recall) => {
                 for task in &recall.tasks {
                     let result = self.gate.cancel(self.now, recall.generation, task);
@@ -288,7 +293,13 @@
                 let is_kept = self.gate.seal(self.now, &seal);
                 self.send(session, AgentFrame::Sealed(SealReply { seal, is_kept }));
             }
-            EntryFrame::Config(value) => drop(self.gate.offer_config(*value)),
+            EntryFrame::Config(value) => {
+                if self.gate.offer_config(*value) {
+                    // The change is in force once the entries have heard that it is held here.
+                    self.sessions.values_mut().for_each(SessionView::hurry_ask);
+                    self.ask();
+                }
+            }
         }
     }
 
@@ -325,7 +336,10 @@
         }
     }
 
-    fn take_dispatch(&mut self, session: SessionId, dispatch: TaskDispatch) {
+    fn take_dispatch(&mut self, session: SessionId, revision: Revision, dispatch: TaskDispatch) {
+        if let Some(echo) = dispatch.echo {
+            self.take_echo(session, revision, echo);
+        }
         for order in dispatch.tasks {
             let home = order.key.home.clone();
             match self.gate.admit(self.now, dispatch.generation, order) {
@@ -368,29 +382,41 @@
     fn flush(&mut self) {
         for (session, results) in std::mem::take(&mut self.outbox) {
             let load = self.gate.load(self.now, self.mine_of(session));
+            let Some(ask) = self.make_ask(session, None) else {
+                continue;
+            };
             if let Some(view) = self.sessions.get_mut(&session) {
                 view.told_load = Some(load.clone());
             }
-            self.send(session, AgentFrame::Results(TaskResults { results, load }));
+            self.send(session, AgentFrame::Results(TaskResults { results, load, ask }));
         }
     }
 
+    /// Asks on sessions that have carried nothing for a while, and on one more while the best proof grows old.
     fn ask(&mut self) {
         let now = self.now;
-        let due: Vec<SessionId> = self.sessions.iter().filter(|(_, view)| view.is_ask_due(now, ASK_PERIOD)).map(|(id, _)| *id).collect();
+        let quiet = self.sessions.iter().filter(|(_, view)| view.is_ask_due(now, ASK_PERIOD)).map(|(session, _)| *session);
+        let mut due: Vec<SessionId> = quiet.collect();
+        let is_ageing = self.gate.freshness().age(now).is_none_or(|age| age > PROOF_AGE_MAX);
+        if is_ageing && due.is_empty() {
+            due.extend(self.sessions.iter().find(|(_, view)| view.is_ask_due(now, HURRIED_ASK_PERIOD)).map(|(session, _)| *session));
+        }
         for session in due {
-            self.next_nonce += 1;
-            let nonce = self.next_nonce;
             let load = self.gate.load(now, self.mine_of(session));
-            let is_settled = self.gate.freshness().age(now).is_some();
-            let Some(view) = self.sessions.get_mut(&session) else {
-                continue;
-            };
-            let ask = view.make_ask(now, nonce, is_settled, load);
-            self.send(session, AgentFrame::Ask(ask));
+            let news = self.sessions.get_mut(&session).and_then(|view| view.take_load_news(load));
+            if let Some(ask) = self.make_ask(session, news) {
+                self.send(session, AgentFrame::Ask(ask));
+            }
         }
     }
 
+    fn make_ask(&mut self, session: SessionId, load: Option<LoadReport>) -> Option<FreshnessAsk> {
+        self.next_nonce += 1;
+        let is_settled = self.gate.freshness().age(self.now).is_some();
+        let view = self.sessions.get_mut(&session)?;
+        Some(view.make_ask(self.now, self.next_nonce, is_settled, load))
+    }
+
     fn mine_of(&self, session: SessionId) -> u32 {
         let homes = self.owners.iter().filter(|(_, owner)| **owner == session);
         homes.map(|(home, _)| self.gate.held_of(home)).sum()
--- a/crates/control/src/agent/session_view.rs
+++ b/crates/control/src/agent/session_view.rs
@@ -10,7 +10,7 @@
 use vanillacleat_core::units::{MonoTime, Revision};
 
 /// Questions that may be unanswered on one session.
-const QUESTIONS_KEPT: usize = 8;
+const QUESTIONS_KEPT: usize = 64;
 
 /// A `SessionView` is what an agent knows of one session.
 #[derive(Debug)]
@@ -30,22 +30,32 @@
         Self { address, entry: None, wanted: None, echoed: 0, told_load: None, questions: VecDeque::new(), asked_at: None, heard_at: now }
     }
 
+    /// Returns whether nothing was asked on the session for `period`.
     pub(super) fn is_ask_due(&self, now: MonoTime, period: Duration) -> bool {
         self.asked_at.is_none_or(|at| now.since(at) >= period)
     }
 
-    /// Returns the next question; it carries the load only if that has changed since it was last told.
-    pub(super) fn make_ask(&mut self, now: MonoTime, nonce: u64, is_settled: bool, load: LoadReport) -> FreshnessAsk {
+    /// Asks at the next tick, since the other side waits to hear something.
+    pub(super) fn hurry_ask(&mut self) {
+        self.asked_at = None;
+    }
+
+    /// Returns the load if it has changed since it was last told.
+    pub(super) fn take_load_news(&mut self, load: LoadReport) -> Option<LoadReport> {
+        if self.told_load.as_ref() == Some(&load) {
+            return None;
+        }
+        self.told_load = Some(load.clone());
+        Some(load)
+    }
+
+    /// Returns the next question.
+    pub(super) fn make_ask(&mut self, now: MonoTime, nonce: u64, is_settled: bool, load: Option<LoadReport>) -> FreshnessAsk {
         self.asked_at = Some(now);
         self.questions.push_back((nonce, now));
         if self.questions.len() > QUESTIONS_KEPT {
             self.questions.pop_front();
         }
-        let is_news = self.told_load.as_ref() != Some(&load);
-        let load = is_news.then_some(load);
-        if load.is_some() {
-            self.told_load.clone_from(&load);
-        }
         FreshnessAsk { nonce, echoed: self.echoed, is_settled, load }
     }
 
--- a/crates/control/src/entry/peers.rs
+++ b/crates/control/src/entry/peers.rs
@@ -1,6 +1,6 @@
 //! The other entries: heartbeats, what each owns and uses, and the hand-over when this entry leaves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -9,7 +9,7 @@
 use vanillacleat_core::frames::{Envelope, HomeFence, HomeHandover, PeerCall, PeerGossip, PeerReply, WorkerNote};
 use vanillacleat_core::ids::{EntryId, HomeKey, TeamName};
 use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
-use vanillacleat_core::units::MonoTime;
+use vanillacleat_core::units::{MonoTime, Revision};
 
 use super::platform::{EntryPresence, HomeClaim, PendingOp, PlatformOp, PlatformReply, StoreVersion};
 use super::routing::TicketCall;
@@ -17,11 +17,13 @@
 use crate::{CallId, ReplyId};
 
 /// Time between two heartbeats to one peer.
-pub const GOSSIP_PERIOD: Duration = Duration::from_millis(500);
+pub const GOSSIP_PERIOD: Duration = Duration::from_millis(1_500);
 /// Time without a heartbeat from which a peer counts as lost and its home may be adopted.
-pub const PEER_SILENCE_MAX: Duration = Duration::from_secs(3);
+pub const PEER_SILENCE_MAX: Duration = Duration::from_secs(4);
 /// Time after an answered heartbeat in which the peer certainly has not adopted this entry's homes.
-const OWNERSHIP_LIFETIME: Duration = Duration::from_millis(2_500);
+const OWNERSHIP_LIFETIME: Duration = Duration::from_millis(3_500);
+/// Heartbeats whose echo is awaited, for each peer.
+const SENT_KEPT: usize = 16;
 /// Longest time between two renewals of the own key after which other entries may have counted this one as gone.
 const PRESENCE_GAP_MAX: Duration = Duration::from_secs(10);
 /// Time after its start in which an entry adopts no home that it never heard of, so that its owner sees it come.
@@ -36,14 +38,34 @@
     heard_at: Option<MonoTime>,
     known_at: MonoTime,
     next_at: MonoTime,
-    pending: Option<(CallId, MonoTime, u64)>,
+    next_at_news: bool,
+    pending: Option<CallId>,
+    sent: VecDeque<SentGossip>,
+    heard_nonce: u64,
     told_version: u64,
     acked_version: u64,
     promised_at: Option<MonoTime>,
     owned: Vec<HomeFence>,
 }
 
+/// A `SentGossip` is a heartbeat sent to a peer.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct SentGossip {
+    nonce: u64,
+    at: MonoTime,
+    version: u64,
+}
+
 impl PeerView {
+    /// Notes that the peer has heard the heartbeat `nonce`, and so did not adopt this entry's homes before it was sent.
+    fn note_heard(&mut self, nonce: u64) {
+        let Some(sent) = self.sent.iter().find(|sent| sent.nonce == nonce) else {
+            return;
+        };
+        self.promised_at = self.promised_at.max(Some(sent.at));
+        self.acked_version = self.acked_version.max(sent.version);
+    }
+
     fn new(now: MonoTime) -> Self {
         Self {
             home: None,
@@ -52,7 +74,10 @@
             heard_at: None,
             known_at: now,
             next_at: now,
+            next_at_news: false,
             pending: None,
+            sent: VecDeque::new(),
+            heard_nonce: 0,
             told_version: 0,
             acked_version: 0,
             promised_at: None,
@@ -212,7 +237,13 @@
 
     pub(super) fn call_peers(&mut self) {
         let now = self.now;
-        let due = self.peers.peers.iter().filter(|(_, peer)| now >= peer.next_at && peer.pending.is_none());
+        let own = &self.address;
+        let is_due = |address: &SmolStr, peer: &PeerView| {
+            // One of two entries calls; the other calls only when it has news or hears nothing.
+            let is_caller = own < address || peer.heard_at.is_none_or(|at| now.since(at) >= GOSSIP_PERIOD * 4 / 3);
+            now >= peer.next_at && peer.pending.is_none() && (is_caller || peer.next_at_news)
+        };
+        let due = self.peers.peers.iter().filter(|(address, peer)| is_due(address, peer));
         let due: Vec<SmolStr> = due.map(|(address, _)| address.clone()).collect();
         for address in due {
             self.call_peer_gossip(address);
@@ -222,18 +253,18 @@
     /// Tells the peers at the next tick, since the list of agent runs has changed.
     pub(super) fn hurry_gossip(&mut self) {
         let now = self.now;
-        self.peers.peers.values_mut().filter(|peer| peer.is_live(now)).for_each(|peer| peer.next_at = peer.next_at.min(now));
+        self.peers.peers.values_mut().filter(|peer| peer.is_live(now)).for_each(|peer| {
+            peer.next_at = peer.next_at.min(now);
+            peer.next_at_news = true;
+        });
     }
 
     fn call_peer_gossip(&mut self, address: SmolStr) {
         let call = CallId(self.make_id());
-        let version = self.fleet.version();
+        let gossip = self.make_gossip(&address);
         let peer = self.peers.peers.get_mut(&address).expect("the peer is known");
-        let is_news = peer.acked_version < version;
-        peer.pending = Some((call, self.now, version));
-        peer.told_version = peer.told_version.max(if is_news { version } else { 0 });
-        let workers = is_news.then(|| self.fleet.worker_notes());
-        let gossip = PeerGossip { workers, ..self.make_gossip() };
+        peer.pending = Some(call);
+        peer.next_at_news = false;
         self.counters.gossips += 1;
         self.call_peer(call, address, PeerCall::Gossip(gossip), false);
     }
@@ -243,7 +274,20 @@
         self.actions.push(EntryAction::CallPeer { call, address, envelope, is_long });
     }
 
-    fn make_gossip(&self) -> PeerGossip {
+    /// Returns the next heartbeat to the peer at `address`, with the list of agent runs unless it has heard the newest.
+    fn make_gossip(&mut self, address: &SmolStr) -> PeerGossip {
+        let nonce = self.make_id();
+        let (now, version) = (self.now, self.fleet.version());
+        let peer = self.peers.peers.entry(address.clone()).or_insert_with(|| PeerView::new(now));
+        let is_news = peer.acked_version < version;
+        if is_news && peer.told_version == 0 {
+            peer.told_version = version;
+        }
+        peer.sent.push_back(SentGossip { nonce, at: now, version });
+        if peer.sent.len() > SENT_KEPT {
+            peer.sent.pop_front();
+        }
+        let echoed = peer.heard_nonce;
         let own = self.home();
         let owned = self.ledger.owned_homes().filter(|(home, _)| *home != own);
         let has_quota = |team: &TeamName| self.config.value().teams.contains_key(team);
@@ -251,9 +295,11 @@
             home: own.clone(),
             zone: self.zone.clone(),
             address: self.address.clone(),
+            nonce,
+            echoed,
             draining: self.is_draining,
             is_settled: self.is_settled,
-            workers: None,
+            workers: is_news.then(|| self.fleet.worker_notes()),
             owned: owned.map(|(home, generation)| HomeFence { home: home.clone(), generation }).collect(),
             demand: self.ledger.demand().into_iter().filter(|(team, _)| has_quota(team)).collect(),
         }
@@ -270,8 +316,9 @@
                 self.reply_to_peer(reply, PeerReply::Accepted);
             }
             PeerCall::Gossip(gossip) => {
-                self.take_gossip(call.revision, gossip, None);
-                let body = PeerReply::Gossip(self.make_gossip());
+                let address = gossip.address.clone();
+                self.take_gossip(call.revision, gossip);
+                let body = PeerReply::Gossip(self.make_gossip(&address));
                 self.reply_to_peer(reply, body);
             }
             PeerCall::Handover(handover) => self.take_handover(reply, *handover),
@@ -289,30 +336,32 @@
             return self.finish_drain();
         }
         let now = self.now;
-        let Some((_, peer)) = self.peers.peers.iter_mut().find(|(_, peer)| peer.pending.is_some_and(|(pending, ..)| pending == call))
-        else {
+        let Some((_, peer)) = self.peers.peers.iter_mut().find(|(_, peer)| peer.pending == Some(call)) else {
             return;
         };
-        let (_, asked_at, version) = peer.pending.take().expect("the call was pending");
+        peer.pending = None;
         peer.next_at = now + GOSSIP_PERIOD;
         if let Some(Envelope { revision, body: PeerReply::Gossip(gossip) }) = reply {
-            let is_same = peer.home.as_ref() == Some(&gossip.home);
-            peer.acked_version = if is_same || peer.home.is_none() { version } else { 0 };
-            if version < self.fleet.version() {
-                peer.next_at = now;
-            }
-            peer.promised_at = Some(asked_at);
-            self.take_gossip(revision, gossip, Some(asked_at));
+            self.take_gossip(revision, gossip);
         }
     }
 
-    fn take_gossip(&mut self, revision: vanillacleat_core::units::Revision, gossip: PeerGossip, asked_at: Option<MonoTime>) {
+    fn take_gossip(&mut self, revision: Revision, gossip: PeerGossip) {
         let now = self.now;
         let name = gossip.home.entry.clone();
         let is_new_run = self.peers.peers.get(&gossip.address).is_some_and(|peer| peer.home.as_ref() != Some(&gossip.home));
         if is_new_run {
             self.witnesses.forget(name.as_str());
         }
+        let peer = self.peers.peers.entry(gossip.address.clone()).or_insert_with(|| PeerView::new(now));
+        if is_new_run {
+            // A new run knows nothing of what was told to the earlier one.
+            (peer.told_version, peer.acked_version, peer.promised_at) = (0, 0, None);
+            peer.sent.clear();
+        }
+        peer.note_heard(gossip.echoed);
+        peer.heard_nonce = gossip.nonce;
+        let asked_at = peer.sent.iter().find(|sent| sent.nonce == gossip.echoed).map(|sent| sent.at);
         self.witnesses.note(now, name.as_str(), &gossip.zone, revision, asked_at.filter(|_| gossip.is_settled));
         if revision < self.config.revision() {
             self.send_config_to(gossip.address.clone());
@@ -325,9 +374,8 @@
         }
         self.teams.note_demand(&name, &gossip.demand);
         let peer = self.peers.peers.entry(gossip.address).or_insert_with(|| PeerView::new(now));
-        if peer.home.as_ref() != Some(&gossip.home) {
-            // A new run knows nothing of what was told to the earlier one.
-            (peer.told_version, peer.acked_version) = (0, 0);
+        if peer.acked_version < self.fleet.version() {
+            (peer.next_at, peer.next_at_news) = (now, true);
         }
         peer.home = Some(gossip.home.clone());
         peer.is_draining = gossip.draining;
--- a/crates/control/src/entry/placing.rs
+++ b/crates/control/src/entry/placing.rs
@@ -27,7 +27,8 @@
         }
         for ((session, generation), tasks) in batch {
             self.counters.dispatched += tasks.len() as u64;
-            self.send(session, EntryFrame::Dispatch(TaskDispatch { generation, tasks }));
+            let echo = self.take_echo(session);
+            self.send(session, EntryFrame::Dispatch(TaskDispatch { generation, tasks, echo }));
         }
     }
 
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -19,7 +19,14 @@
 /// Time without a frame from which a session counts as broken.
 const SESSION_SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Questions of ours that may be unanswered on one session.
-const NONCES_KEPT: usize = 8;
+const NONCES_KEPT: usize = 64;
+
+/// A `Witness` is the sender of a frame with the revision that it holds.
+struct Witness {
+    worker: WorkerKey,
+    zone: ZoneName,
+    revision: Revision,
+}
 
 impl EntryControl {
     pub(super) fn take_agent_frame(&mut self, session: SessionId, frame: Envelope<AgentFrame>) {
@@ -29,13 +36,14 @@
         let Some(view) = self.fleet.worker_on(session) else {
             return;
         };
-        let (worker, zone) = (view.worker.clone(), view.zone.clone());
+        let witness = Witness { worker: view.worker.clone(), zone: view.zone.clone(), revision: frame.revision };
+        let worker = witness.worker.clone();
         self.hear_revision(frame.revision);
         self.fleet.note_heard(self.now, &worker.agent);
         match frame.body {
             AgentFrame::Hello(_) => {}
-            AgentFrame::Ask(ask) => self.take_ask(session, &worker, &zone, frame.revision, ask),
-            AgentFrame::Results(results) => self.take_results(session, &worker, results),
+            AgentFrame::Ask(ask) => self.take_ask(session, &witness, ask),
+            AgentFrame::Results(results) => self.take_results(session, &witness, results),
             AgentFrame::Inventory(inventory) => self.take_inventory(&worker, inventory),
             AgentFrame::Sealed(reply) => self.take_sealed(reply),
             AgentFrame::ConfigWanted => self.send_config(session),
@@ -84,6 +92,7 @@
 
     pub(super) fn lose_session(&mut self, session: SessionId) {
         self.nonces.remove(&session);
+        self.questions.remove(&session);
         if let Some(worker) = self.fleet.note_lost(self.now, session, self.mint.next_serial()) {
             self.log("agent_lost", format!("agent={} outstanding={}", worker, self.ledger.sent_count(&worker)));
         }
@@ -97,12 +106,28 @@
         }
     }
 
-    fn take_ask(&mut self, session: SessionId, worker: &WorkerKey, zone: &ZoneName, revision: Revision, ask: FreshnessAsk) {
+    /// Takes a question that is answered at once.
+    fn take_ask(&mut self, session: SessionId, witness: &Witness, ask: FreshnessAsk) {
         if let Some(load) = &ask.load {
-            self.fleet.note_load(&worker.agent, load);
+            self.fleet.note_load(&witness.worker.agent, load);
         }
+        self.note_ask(session, witness, &ask);
+        if let Some(echo) = self.take_echo(session) {
+            self.counters.echoes += 1;
+            self.send(session, EntryFrame::Echo(echo));
+        }
+    }
+
+    /// Takes a question that the next frame to the agent answers.
+    fn note_ask(&mut self, session: SessionId, witness: &Witness, ask: &FreshnessAsk) {
         let asked_at = self.find_question(session, ask.echoed).filter(|_| ask.is_settled);
-        self.witnesses.note(self.now, worker.agent.as_str(), zone, revision, asked_at);
+        self.witnesses.note(self.now, witness.worker.agent.as_str(), &witness.zone, witness.revision, asked_at);
+        self.questions.insert(session, ask.nonce);
+    }
+
+    /// Returns the answer to the newest question on the session, if it has not been answered.
+    pub(super) fn take_echo(&mut self, session: SessionId) -> Option<FreshnessEcho> {
+        let nonce = self.questions.remove(&session)?;
         let asked = self.make_id();
         let nonces = self.nonces.entry(session).or_default();
         nonces.push_back((asked, self.now));
@@ -110,8 +135,7 @@
             nonces.pop_front();
         }
         let proof_age_ms = self.proof_age().map(|age| Millis::from_duration(age + Duration::from_millis(1)));
-        self.counters.echoes += 1;
-        self.send(session, EntryFrame::Echo(FreshnessEcho { nonce: ask.nonce, asked, proof_age_ms }));
+        Some(FreshnessEcho { nonce, asked, proof_age_ms })
     }
 
     fn find_question(&self, session: SessionId, echoed: u64) -> Option<MonoTime> {
@@ -130,15 +154,17 @@
         proof.map(|at| self.now.since(at))
     }
 
-    fn take_results(&mut self, session: SessionId, worker: &WorkerKey, results: TaskResults) {
+    fn take_results(&mut self, session: SessionId, witness: &Witness, results: TaskResults) {
+        let worker = &witness.worker;
+        self.note_ask(session, witness, &results.ask);
         self.fleet.note_load(&worker.agent, &results.load);
         for result in results.results {
-            self.take_result(session, worker, result);
+            self.take_result(worker, result);
         }
         self.note_outstanding(worker);
     }
 
-    fn take_result(&mut self, _session: SessionId, worker: &WorkerKey, result: TaskResult) {
+    fn take_result(&mut self, worker: &WorkerKey, result: TaskResult) {
         let service = self.ledger.service_of(&result.key);
         match &result.status {
             TaskStatus::Ended(outcome) => {
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -702,7 +702,7 @@
     let make_task = |task| TaskSpec { payload: format!("job {index} task {task}"), ..TaskSpec::default() };
     JobSpec {
         service: "readings".parse().unwrap(),
-        team: if index % 3 == 0 { "councils" } else { "observatories" }.parse().unwrap(),
+        team: if index.is_multiple_of(3) { "councils" } else { "observatories" }.parse().unwrap(),
         deadline_ms: Millis(6_000),
         tasks: (0..tasks).map(make_task).collect(),
     }
--- a/crates/core/src/frames.rs
+++ b/crates/core/src/frames.rs
@@ -104,6 +104,8 @@
     pub results: Vec<TaskResult>,
     /// The agent's load after them.
     pub load: LoadReport,
+    /// A question that the next frame to the agent answers, so that a busy session needs no heartbeats.
+    pub ask: FreshnessAsk,
 }
 
 /// A `TaskResult` is the state of one task at an agent.
@@ -225,6 +227,8 @@
     pub generation: Generation,
     /// The tasks.
     pub tasks: Vec<TaskOrder>,
+    /// Answers the newest question that came with results.
+    pub echo: Option<FreshnessEcho>,
 }
 
 /// A `TaskRecall` names dispatched tasks of a home; none of the named attempts starts after it, if it has not yet.
@@ -310,6 +314,10 @@
     pub zone: ZoneName,
     /// Where the sender listens for the system's own frames, as `ip:port`.
     pub address: SmolStr,
+    /// Names this message.
+    pub nonce: u64,
+    /// The newest nonce heard from the receiver, which proves that it was heard after it was sent.
+    pub echoed: u64,
     /// Whether the sender is draining.
     pub draining: bool,
     /// Whether the sender has had a proof since it started, so that it counts as a witness.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -180,7 +180,7 @@
     fn default() -> Self {
         Self {
             queue_limit: 16,
-            freshness_ms: Millis(2_500),
+            freshness_ms: Millis(2_800),
             freshness: FreshnessPolicy::default(),
             retention_ms: Millis(780_000),
             answer_bytes: ByteCount(16_000_000),
