Ask for freshness only where no traffic carries it

Cause: the hurried question came at a proof age of 1.5 s, which the entry's own proof (up to 1.2 s old) reaches at rest. Change: a quiet session asks every 2 s; the hurried question comes at 2 s of the 2.8 s that a proof lasts.

--- a/crates/cli/src/load/driver.rs
+++ b/crates/cli/src/load/driver.rs
@@ -57,6 +57,7 @@
     let tickets = deployment.runtime.block_on(take_tickets(&client, jobs.len())).change_context(CommandError::Call)?;
     let (entry_time, agent_time) = (thread_time("entry-"), thread_time("agent-"));
     let calls_before = deployment.platform.calls();
+    let counters_before = deployment.runtime.block_on(read_counters(&client, &deployment));
     let started_at = Instant::now();
     let callers = spawn_callers(&deployment, &client, &jobs, &tickets, started_at);
     let changes = run_faults(&mut deployment, &client, settings, &tickets, started_at);
@@ -71,6 +72,7 @@
         changes,
         starts: deployment.log.records().split_off(probes),
         counters: deployment.runtime.block_on(read_counters(&client, &deployment)),
+        counters_before,
         platform_calls: deployment.platform.calls() - calls_before,
         entry_time: thread_time("entry-").saturating_sub(entry_time),
         agent_time: thread_time("agent-").saturating_sub(agent_time),
@@ -158,13 +160,15 @@
     seen
 }
 
+/// Returns each entry's counters; a killed one's are empty.
 async fn read_counters(client: &CallerClient, deployment: &LocalDeployment) -> Vec<serde_json::Value> {
     let mut counters = Vec::new();
-    let live = deployment.entry_addresses.iter().zip(&deployment.entries).filter(|(_, entry)| entry.is_some());
-    for (address, _) in live {
-        if let Ok(state) = client.read_state(*address).await {
-            counters.push(state["counters"].clone());
-        }
+    for (address, entry) in deployment.entry_addresses.iter().zip(&deployment.entries) {
+        let state = match entry {
+            Some(_) => client.read_state(*address).await.unwrap_or_default(),
+            None => serde_json::Value::Null,
+        };
+        counters.push(state["counters"].clone());
     }
     counters
 }
--- a/crates/cli/src/load/report.rs
+++ b/crates/cli/src/load/report.rs
@@ -35,8 +35,10 @@
     pub changes: Vec<ChangeSeen>,
     /// What the upstreams saw.
     pub starts: Vec<StartRecord>,
-    /// The live entries' counters.
+    /// The entries' counters after the run; empty for killed ones.
     pub counters: Vec<serde_json::Value>,
+    /// The entries' counters before the run.
+    pub counters_before: Vec<serde_json::Value>,
     /// Calls of the platform's store.
     pub platform_calls: u64,
     /// Processor time of the entries.
@@ -100,7 +102,7 @@
         let complete = |seen: &&JobSeen| seen.answer.as_ref().is_ok_and(|view| view.verdict == "complete");
         let refused = run.seen.iter().filter(|seen| seen.answer.is_err()).count();
         let completed: Vec<&JobSeen> = run.seen.iter().filter(complete).collect();
-        let (useful, wasted) = count_messages(&run.counters);
+        let (useful, wasted) = count_messages(run);
         let starts = run.starts.len().max(1) as f64;
         Self {
             name: variant.name.clone(),
@@ -148,8 +150,10 @@
     work.as_secs_f64() / run.elapsed.as_secs_f64()
 }
 
-fn count_messages(counters: &[serde_json::Value]) -> (u64, BTreeMap<String, u64>) {
-    let total = |name: &str| counters.iter().filter_map(|counters| counters[name].as_u64()).sum::<u64>();
+fn count_messages(run: &RunSeen) -> (u64, BTreeMap<String, u64>) {
+    let pairs = run.counters_before.iter().zip(&run.counters);
+    let grown = |name: &str, before: &serde_json::Value, after: &serde_json::Value| Some(after[name].as_u64()? - before[name].as_u64()?);
+    let total = |name: &str| pairs.clone().filter_map(|(before, after)| grown(name, before, after)).sum::<u64>();
     // Each of these is a frame or an entry in one and its answer.
     let pairs = ["bounced", "reclaimed", "cancelled", "seals", "echoes", "gossips"];
     let single = ["unwanted", "configs"];
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -27,13 +27,13 @@
 use session_view::SessionView;
 
 /// Time without a question from which a session is asked by a frame of its own.
-pub const ASK_PERIOD: Duration = Duration::from_secs(1);
+pub const ASK_PERIOD: Duration = Duration::from_secs(2);
 /// Age of the best proof from which it is renewed out of turn.
-const PROOF_AGE_MAX: Duration = Duration::from_millis(1_500);
+const PROOF_AGE_MAX: Duration = Duration::from_millis(2_000);
 /// Shortest time between questions out of turn on one session.
 const HURRIED_ASK_PERIOD: Duration = Duration::from_millis(250);
 /// Time without a frame from which a session counts as broken.
-const SESSION_SILENCE_MAX: Duration = Duration::from_secs(5);
+const SESSION_SILENCE_MAX: Duration = Duration::from_secs(6);
 /// Time between two events from which this process counts as having been stalled.
 const STALL_MIN: Duration = Duration::from_millis(500);
 
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -17,7 +17,7 @@
 use crate::SessionId;
 
 /// Time without a frame from which a session counts as broken.
-const SESSION_SILENCE_MAX: Duration = Duration::from_secs(3);
+const SESSION_SILENCE_MAX: Duration = Duration::from_secs(5);
 /// Questions of ours that may be unanswered on one session.
 const NONCES_KEPT: usize = 64;
 
