--- a/crates/agent/src/http_api.rs
+++ b/crates/agent/src/http_api.rs
@@ -11,19 +11,17 @@
 use vanillacleat_core::api::ProblemBody;
 use vanillacleat_core::ids::UpstreamName;
 use vanillacleat_core::outcome::RefusalCode;
-use vanillacleat_daemon::{render_metrics, server_config, EventSender, ProblemReply};
+use vanillacleat_daemon::{launch_server, render_metrics, server_config, EventSender, ProblemReply, ServerError};
 
 use crate::control_loop::AgentInput;
 
 type Events = State<EventSender<AgentInput>>;
 
 /// Starts the server; it ends with the runtime.
-pub(crate) async fn start_server(address: SocketAddr, events: EventSender<AgentInput>) -> Result<(), Box<rocket::Error>> {
+pub(crate) async fn start_server(address: SocketAddr, events: EventSender<AgentInput>) -> Result<(), ServerError> {
     let routes = routes![announce, leave, health, state, metrics];
     let server = rocket::custom(server_config(address)).manage(events).mount("/", routes).register("/", catchers![not_served]);
-    let server = server.ignite().await.map_err(Box::new)?;
-    tokio::spawn(server.launch());
-    Ok(())
+    launch_server(server).await
 }
 
 #[post("/v1/upstreams", data = "<notice>")]
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -42,6 +42,7 @@
     /// Applies a sheet of changes, all of it or nothing
     #[bpaf(command)]
     Apply {
+        /// Where the change is sent
         #[bpaf(external(change_target))]
         target: ChangeTarget,
         /// The sheet in TOML
@@ -110,6 +111,7 @@
     /// Takes the availability zone out of service
     #[bpaf(command("out"))]
     Out {
+        /// Where the change is sent
         #[bpaf(external(change_target))]
         target: ChangeTarget,
         /// The availability zone
@@ -119,6 +121,7 @@
     /// Brings the availability zone back
     #[bpaf(command("in"))]
     In {
+        /// Where the change is sent
         #[bpaf(external(change_target))]
         target: ChangeTarget,
         /// The availability zone
@@ -133,6 +136,7 @@
     /// Gives the upstream no more work
     #[bpaf(command("retire"))]
     Retire {
+        /// Where the change is sent
         #[bpaf(external(change_target))]
         target: ChangeTarget,
         /// The upstream
@@ -142,6 +146,7 @@
     /// Gives the upstream work again
     #[bpaf(command("restore"))]
     Restore {
+        /// Where the change is sent
         #[bpaf(external(change_target))]
         target: ChangeTarget,
         /// The upstream
@@ -153,6 +158,7 @@
 /// A change of a team's quota.
 #[derive(Clone, Debug, Bpaf)]
 pub struct QuotaChange {
+    /// Where the change is sent
     #[bpaf(external(change_target))]
     pub target: ChangeTarget,
     /// The team
--- a/crates/cli/src/deployment.rs
+++ b/crates/cli/src/deployment.rs
@@ -78,7 +78,7 @@
 }
 
 impl LocalDeployment {
-    /// Starts a deployment and waits until every entry sees every agent.
+    /// Starts a deployment and waits until every entry sees every agent and has told every other which it uses.
     pub fn start(options: &DeploymentOptions) -> Result<Self, Report<CommandError>> {
         let runtime = ProcessRuntime::start("standins", STANDIN_THREADS).change_context(CommandError::Start)?;
         let log = StartLog::default();
@@ -184,5 +184,7 @@
         return false;
     };
     let offers = |agent: &serde_json::Value| agent["upstreams"].as_array().is_some_and(|offers| !offers.is_empty());
-    state["agents"].as_array().is_some_and(|known| known.iter().filter(|agent| offers(agent)).count() == agents)
+    let has_agents = state["agents"].as_array().is_some_and(|known| known.iter().filter(|agent| offers(agent)).count() == agents);
+    let has_told = |peer: &serde_json::Value| peer["acked_version"] == state["fleet_version"];
+    has_agents && state["peers"].as_object().is_some_and(|peers| peers.values().all(has_told))
 }
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,40 @@
+//! The command line of vanillacleat, as a library so that its parts can be tested and embedded.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod commands;
+pub mod deployment;
+pub mod load;
+pub mod operators;
+pub mod quickstart;
+pub mod sheet;
+
+use std::process::ExitCode;
+
+use commands::{cli_command, CliCommand};
+use vanillacleat_daemon::init_logging;
+
+/// Runs the command that the process was started with.
+pub fn run() -> ExitCode {
+    let command = cli_command().run();
+    init_logging();
+    let outcome = match command {
+        CliCommand::Quickstart { hold } => quickstart::run(hold),
+        CliCommand::Load { settings, report } => load::run(&settings, report.as_deref()),
+        CliCommand::Submit(options) => operators::submit(&options),
+        CliCommand::Zone(change) => operators::change_zone(&change),
+        CliCommand::Upstream(change) => operators::change_upstream(&change),
+        CliCommand::Set(change) => operators::set_quota(&change),
+        CliCommand::Apply { target, sheet } => operators::apply_sheet(&target, &sheet),
+        CliCommand::Config(show) => operators::show_config(&show),
+        CliCommand::Dump { address } => operators::dump(address),
+        CliCommand::Check { settings } => operators::check_settings(&settings),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error={report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/cli/src/load/workload.rs
+++ b/crates/cli/src/load/workload.rs
@@ -76,7 +76,7 @@
         let run_ms = run.as_millis() as u64;
         let script = TaskScript { id: format!("{index}-{task}"), run_ms, fails: false };
         // Declared times are far off the truth: here always a third of the mean or three times it.
-        let declared = if (index + task) % 2 == 0 { 170 } else { 1_500 };
+        let declared = if (index + task).is_multiple_of(2) { 170 } else { 1_500 };
         TaskSpec { payload: script.to_payload(), declared_ms: Some(Millis(declared)), ..TaskSpec::default() }
     };
     let spec = JobSpec {
--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -26,17 +26,19 @@
     pub slots: f64,
     /// Mean run time of the service's tasks, once learnt.
     pub mean_run: Option<Duration>,
+    /// Run time that few tasks exceed, once learnt.
+    pub tail_run: Option<Duration>,
 }
 
 impl AdmissionView {
-    /// Returns how long a job of `tasks` tasks would take through the queue, once run times are learnt.
+    /// Returns how long a job of `tasks` tasks would take, once run times are learnt: until its last task starts,
+    /// and then a long run.
     pub fn estimate(&self, tasks: usize) -> Option<Duration> {
-        let mean = self.mean_run?;
         if self.slots <= 0.0 {
             return None;
         }
-        let ahead = (self.waiting_for_service + tasks) as f64 / self.slots;
-        Some(mean.mul_f64(ahead.max(1.0)))
+        let until_start = (self.waiting_for_service + tasks - 1) as f64 / self.slots;
+        Some(self.mean_run?.mul_f64(until_start) + self.tail_run?)
     }
 
     /// Returns why the job is refused, if it is.
--- a/crates/control/src/entry/calls.rs
+++ b/crates/control/src/entry/calls.rs
@@ -93,6 +93,7 @@
             queue_limit: self.queue_limit(spec),
             slots: f64::from(self.fleet.slots_of(&spec.service, self.config.value())) / entries as f64,
             mean_run: self.run_times.mean(&spec.service),
+            tail_run: self.run_times.tail(&spec.service),
         }
     }
 
--- a/crates/control/src/entry/dump.rs
+++ b/crates/control/src/entry/dump.rs
@@ -18,6 +18,7 @@
             "config_behind": self.config.is_behind(),
             "platform_failing": self.pacer.is_failing(),
             "platform_calls_open": self.platform_ops.len(),
+            "fleet_version": self.fleet.version(),
             "agents": self.fleet.agents().collect::<Vec<_>>(),
             "peers": self.peers.dump(),
             "owned_homes": self.ledger.owned_homes().map(|(home, generation)| json!({"home": home.to_string(), "generation": generation})).collect::<Vec<_>>(),
--- a/crates/control/src/entry/peers.rs
+++ b/crates/control/src/entry/peers.rs
@@ -53,7 +53,6 @@
 struct SentGossip {
     nonce: u64,
     at: MonoTime,
-    version: u64,
 }
 
 impl PeerView {
@@ -63,7 +62,6 @@
             return;
         };
         self.promised_at = self.promised_at.max(Some(sent.at));
-        self.acked_version = self.acked_version.max(sent.version);
     }
 
     fn new(now: MonoTime) -> Self {
@@ -99,13 +97,21 @@
     }
 }
 
+/// A `WorkerList` is what an entry run told of the agent runs that it used or may use.
+#[derive(Debug, Default)]
+struct WorkerList {
+    version: u64,
+    heard_at: MonoTime,
+    notes: Option<Vec<WorkerNote>>,
+}
+
 /// A `PeerBook` holds the other entries by address.
 #[derive(Debug)]
 pub(super) struct PeerBook {
     own_address: SmolStr,
     peers: BTreeMap<SmolStr, PeerView>,
     claims: BTreeMap<HomeKey, SmolStr>,
-    workers: BTreeMap<HomeKey, (MonoTime, Vec<WorkerNote>)>,
+    lists: BTreeMap<HomeKey, WorkerList>,
     announced_at: Option<MonoTime>,
     first_announced_at: Option<MonoTime>,
 }
@@ -114,7 +120,7 @@
     pub(super) fn new(own_address: SmolStr, seeds: Vec<SmolStr>) -> Self {
         let others = seeds.into_iter().filter(|seed| *seed != own_address);
         let peers = others.map(|seed| (seed, PeerView::new(MonoTime::ZERO))).collect();
-        Self { own_address, peers, claims: BTreeMap::new(), workers: BTreeMap::new(), announced_at: None, first_announced_at: None }
+        Self { own_address, peers, claims: BTreeMap::new(), lists: BTreeMap::new(), announced_at: None, first_announced_at: None }
     }
 
     /// Takes the store's list of entries, read by a question sent at `asked_at`.
@@ -122,7 +128,7 @@
         let is_gapped = self.announced_at.is_none_or(|at| now.since(at) > PRESENCE_GAP_MAX);
         if is_gapped {
             // Others may have counted this entry as gone and used agents without telling it.
-            self.workers.clear();
+            self.lists.values_mut().for_each(|list| list.notes = None);
         }
         self.announced_at = Some(now);
         self.first_announced_at.get_or_insert(now);
@@ -183,12 +189,28 @@
 
     /// Returns the agent runs that the entry run `home` may have used, if it told this entry.
     pub(super) fn workers_of(&self, home: &HomeKey) -> Option<&Vec<WorkerNote>> {
-        self.workers.get(home).map(|(_, workers)| workers)
+        self.lists.get(home)?.notes.as_ref()
     }
 
     /// Forgets what was told by entry runs whose tickets have expired since.
     pub(super) fn forget_workers(&mut self, now: MonoTime, ticket_lifetime: Duration) {
-        self.workers.retain(|_, (at, _)| now.since(*at) < ticket_lifetime * 2);
+        self.lists.retain(|_, list| now.since(list.heard_at) < ticket_lifetime * 2);
+    }
+
+    /// Takes what the entry run `home` told of its agent runs. A list older than one that was held is no news.
+    fn note_workers(&mut self, now: MonoTime, gossip: &mut PeerGossip) {
+        let list = self.lists.entry(gossip.home.clone()).or_default();
+        list.heard_at = now;
+        if let Some(notes) = gossip.workers.take().filter(|_| gossip.version >= list.version) {
+            list.version = gossip.version;
+            list.notes = Some(notes);
+        }
+    }
+
+    /// Returns the version of the list that is held of the entry run `home`.
+    fn held_version(&self, home: Option<&HomeKey>) -> u64 {
+        let list = home.and_then(|home| self.lists.get(home));
+        list.filter(|list| list.notes.is_some()).map_or(0, |list| list.version)
     }
 
     /// Returns the newest fleet version of which every possible adopter has been told.
@@ -283,11 +305,12 @@
         if is_news && peer.told_version == 0 {
             peer.told_version = version;
         }
-        peer.sent.push_back(SentGossip { nonce, at: now, version });
+        peer.sent.push_back(SentGossip { nonce, at: now });
         if peer.sent.len() > SENT_KEPT {
             peer.sent.pop_front();
         }
-        let echoed = peer.heard_nonce;
+        let (echoed, peer_home) = (peer.heard_nonce, peer.home.clone());
+        let holds = self.peers.held_version(peer_home.as_ref());
         let own = self.home();
         let owned = self.ledger.owned_homes().filter(|(home, _)| *home != own);
         let has_quota = |team: &TeamName| self.config.value().teams.contains_key(team);
@@ -299,6 +322,8 @@
             echoed,
             draining: self.is_draining,
             is_settled: self.is_settled,
+            version,
+            holds,
             workers: is_news.then(|| self.fleet.worker_notes()),
             owned: owned.map(|(home, generation)| HomeFence { home: home.clone(), generation }).collect(),
             demand: self.ledger.demand().into_iter().filter(|(team, _)| has_quota(team)).collect(),
@@ -346,7 +371,7 @@
         }
     }
 
-    fn take_gossip(&mut self, revision: Revision, gossip: PeerGossip) {
+    fn take_gossip(&mut self, revision: Revision, mut gossip: PeerGossip) {
         let now = self.now;
         let name = gossip.home.entry.clone();
         let is_new_run = self.peers.peers.get(&gossip.address).is_some_and(|peer| peer.home.as_ref() != Some(&gossip.home));
@@ -373,18 +398,19 @@
             }
         }
         self.teams.note_demand(&name, &gossip.demand);
-        let peer = self.peers.peers.entry(gossip.address).or_insert_with(|| PeerView::new(now));
+        let peer = self.peers.peers.entry(gossip.address.clone()).or_insert_with(|| PeerView::new(now));
+        if peer.acked_version > 0 && gossip.holds == 0 {
+            peer.told_version = 0;
+        }
+        peer.acked_version = gossip.holds;
         if peer.acked_version < self.fleet.version() {
             (peer.next_at, peer.next_at_news) = (now, true);
         }
         peer.home = Some(gossip.home.clone());
         peer.is_draining = gossip.draining;
         peer.heard_at = Some(now);
-        peer.owned = gossip.owned;
-        match gossip.workers {
-            Some(workers) => drop(self.peers.workers.insert(gossip.home, (now, workers))),
-            None => self.peers.workers.get_mut(&gossip.home).into_iter().for_each(|told| told.0 = now),
-        }
+        peer.owned = std::mem::take(&mut gossip.owned);
+        self.peers.note_workers(now, &mut gossip);
         self.forget_silent_demand();
     }
 
--- a/crates/control/src/entry/placing.rs
+++ b/crates/control/src/entry/placing.rs
@@ -6,7 +6,7 @@
 
 use super::{DispatchBatch, EntryControl};
 use crate::fleet::{PlacementRequest, PlacementRule};
-use crate::ledger::LaneKey;
+use crate::ledger::{JobPlace, LaneKey};
 
 /// Tasks at the head of a lane that are looked at before the lane is left for this round.
 const LANE_LOOKAHEAD: usize = 8;
@@ -50,6 +50,10 @@
         let Some((spec, deadline)) = self.ledger.waiting_task(key) else {
             return false;
         };
+        let left = deadline.since(self.now);
+        if self.run_times.median(&spec.service).is_some_and(|median| left < median) {
+            return self.give_up_late(key);
+        }
         let task = &spec.tasks[usize::from(key.task)];
         let service = spec.service.clone();
         let request = PlacementRequest { service: &service, demand: &task.demand, config: self.config.value(), announced_version };
@@ -61,7 +65,7 @@
             return false;
         };
         let payload = task.payload.clone();
-        let left_ms = Millis::from_duration(deadline.since(self.now));
+        let left_ms = Millis::from_duration(left);
         let Some(attempt) = self.ledger.mark_sent(key, &worker) else {
             return false;
         };
@@ -72,6 +76,14 @@
         true
     }
 
+    /// Decides a job that would most likely not be on time, before more of it starts. Returns true: the lane has moved.
+    fn give_up_late(&mut self, key: &TaskKey) -> bool {
+        let place = JobPlace { home: key.home.clone(), serial: key.serial };
+        let effects = self.ledger.give_up(self.now, &place);
+        self.apply(effects);
+        true
+    }
+
     pub(super) fn note_outstanding(&mut self, worker: &WorkerKey) {
         self.fleet.set_outstanding(&worker.agent, self.ledger.sent_count(worker));
     }
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -54,7 +54,7 @@
         self.hear_revision(revision);
         let worker = hello.worker.clone();
         self.witnesses.note(self.now, worker.agent.as_str(), &hello.zone, revision, None);
-        let meaning = self.fleet.note_hello(self.now, session, &hello, self.mint.next_serial());
+        let meaning = self.fleet.note_hello(self.now, session, &hello, self.ledger.unused_from(self.mint.home()));
         let mut entries = self.peers.addresses(self.now);
         entries.push(self.address.clone());
         self.send(session, EntryFrame::Welcome(EntryWelcome { home: self.home().clone(), entries }));
@@ -93,7 +93,7 @@
     pub(super) fn lose_session(&mut self, session: SessionId) {
         self.nonces.remove(&session);
         self.questions.remove(&session);
-        if let Some(worker) = self.fleet.note_lost(self.now, session, self.mint.next_serial()) {
+        if let Some(worker) = self.fleet.note_lost(self.now, session, self.ledger.unused_from(self.mint.home())) {
             self.log("agent_lost", format!("agent={} outstanding={}", worker, self.ledger.sent_count(&worker)));
         }
     }
@@ -178,7 +178,8 @@
                 }
             }
             TaskStatus::Bounced(reason) => {
-                self.counters.bounced += 1;
+                // A task that a cancel took back is counted with the cancel.
+                self.counters.bounced += u64::from(*reason != BounceReason::Cancelled);
                 self.note_bounce(worker, &result, *reason);
                 if let Some(service) = &service {
                     self.breakers.note_returned(service, &worker.agent);
--- a/crates/control/src/fleet/agent_view.rs
+++ b/crates/control/src/fleet/agent_view.rs
@@ -87,9 +87,9 @@
         self.paused_until = self.paused_until.max(now + BOUNCE_PAUSE);
     }
 
-    pub(super) fn note_lost(&mut self, now: MonoTime, next_serial: u64) {
+    pub(super) fn note_lost(&mut self, now: MonoTime, unused_from: u64) {
         self.session = None;
-        self.unused_from = Some(next_serial);
+        self.unused_from = Some(unused_from);
         self.lost_at = Some(now);
         if now.since(self.flapped_at) > FLAP_WINDOW {
             self.flaps = 0;
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -37,8 +37,8 @@
 }
 
 impl FleetView {
-    /// Notes an agent's hello on `session`, while `next_serial` is the next ticket's.
-    pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello, next_serial: u64) -> HelloMeaning {
+    /// Notes an agent's hello on `session`, while no job from serial `unused_from` on has been accepted.
+    pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello, unused_from: u64) -> HelloMeaning {
         let agent = &hello.worker.agent;
         let earlier = self.agents.get_mut(agent);
         self.version += 1;
@@ -51,24 +51,24 @@
         let view = AgentView::new(now, session, hello, self.version);
         match self.agents.insert(agent.clone(), view) {
             Some(view) => {
-                self.note_gone(&view, next_serial);
+                self.note_gone(&view, unused_from);
                 HelloMeaning::Restarted(view.worker)
             }
             None => HelloMeaning::Joined,
         }
     }
 
-    /// Notes that `session` broke, while `next_serial` is the next ticket's; returns the agent run it belonged to.
-    pub fn note_lost(&mut self, now: MonoTime, session: SessionId, next_serial: u64) -> Option<WorkerKey> {
+    /// Notes that `session` broke, while no job from serial `unused_from` on has been accepted; returns the agent run it belonged to.
+    pub fn note_lost(&mut self, now: MonoTime, session: SessionId, unused_from: u64) -> Option<WorkerKey> {
         let view = self.agents.values_mut().find(|view| view.session == Some(session))?;
-        view.note_lost(now, next_serial);
+        view.note_lost(now, unused_from);
         self.version += 1;
         Some(view.worker.clone())
     }
 
     /// Remembers a lost run until every ticket that may have used it has expired.
-    fn note_gone(&mut self, view: &AgentView, next_serial: u64) {
-        let unused_from = view.unused_from.unwrap_or(next_serial);
+    fn note_gone(&mut self, view: &AgentView, unused_from: u64) {
+        let unused_from = view.unused_from.unwrap_or(unused_from);
         self.gone.push(WorkerNote { worker: view.worker.clone(), unused_from: Some(unused_from) });
     }
 
--- a/crates/control/src/gate/mod.rs
+++ b/crates/control/src/gate/mod.rs
@@ -119,7 +119,7 @@
             return Some(bounce(key, order.attempt, reason));
         }
         let deadline = now + order.left_ms.to_duration();
-        self.records.note_queued(&key, order.attempt);
+        self.records.note_queued(&key, stamp);
         self.queue.push(deadline, order);
         None
     }
--- a/crates/control/src/gate/task_records.rs
+++ b/crates/control/src/gate/task_records.rs
@@ -13,8 +13,8 @@
 /// A `TaskState` is where a task stands at this gate.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
-    Queued { attempt: u32 },
-    Running { attempt: u32, is_abandoned: bool },
+    Queued { stamp: AttemptStamp },
+    Running { stamp: AttemptStamp, is_abandoned: bool },
     Ended { outcome: Option<TaskOutcome>, run_ms: Millis },
     Refused { stamp: AttemptStamp },
 }
@@ -87,8 +87,8 @@
         }
     }
 
-    pub(super) fn note_queued(&mut self, key: &TaskKey, attempt: u32) {
-        self.set(key, TaskState::Queued { attempt });
+    pub(super) fn note_queued(&mut self, key: &TaskKey, stamp: AttemptStamp) {
+        self.set(key, TaskState::Queued { stamp });
         self.home_mut(&key.home).held += 1;
     }
 
@@ -103,21 +103,20 @@
     }
 
     fn refuse_held(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
-        let attempt = match self.find_mut(key) {
-            Some(TaskState::Queued { attempt } | TaskState::Running { attempt, .. }) => *attempt,
+        let stamp = match self.find_mut(key) {
+            Some(TaskState::Queued { stamp } | TaskState::Running { stamp, .. }) => *stamp,
             _ => unreachable!("a held task has a record"),
         };
         let home = self.home_mut(&key.home);
         home.held -= 1;
-        let stamp = (home.generation, attempt);
         self.note_refused(now, key, stamp);
-        attempt
+        stamp.1
     }
 
     pub(super) fn note_started(&mut self, now: MonoTime, key: &TaskKey) {
         if let Some(state) = self.find_mut(key) {
-            if let TaskState::Queued { attempt } = *state {
-                *state = TaskState::Running { attempt, is_abandoned: false };
+            if let TaskState::Queued { stamp } = *state {
+                *state = TaskState::Running { stamp, is_abandoned: false };
             }
         }
         self.by_age.push_back((now, key.clone()));
@@ -253,7 +252,7 @@
 fn make_result(key: &TaskKey, state: &TaskState) -> TaskResult {
     let held = |attempt| TaskResult { key: key.clone(), attempt, status: TaskStatus::Held, run_ms: Millis(0) };
     match state {
-        TaskState::Queued { attempt } | TaskState::Running { attempt, .. } => held(*attempt),
+        TaskState::Queued { stamp } | TaskState::Running { stamp, .. } => held(stamp.1),
         TaskState::Refused { stamp } => bounce(key.clone(), stamp.1, BounceReason::Reclaimed),
         TaskState::Ended { outcome, run_ms } => {
             let outcome = outcome.clone().unwrap_or(TaskOutcome::Unknown(UnknownReason::AnswerDropped));
--- a/crates/control/src/ledger/home_record.rs
+++ b/crates/control/src/ledger/home_record.rs
@@ -46,6 +46,7 @@
     pub(super) inventory: Option<AdoptedInventory>,
     pub(super) jobs: BTreeMap<u64, HeldJob>,
     pub(super) expired_below: u64,
+    pub(super) unused_from: u64,
 }
 
 /// A `HeldJob` is a job with its body's digest.
@@ -65,6 +66,7 @@
 
 impl HomeRecord {
     pub(super) fn insert(&mut self, serial: u64, digest: BodyDigest, state: JobState) {
+        self.unused_from = self.unused_from.max(serial + 1);
         self.jobs.insert(serial, HeldJob { digest, state });
     }
 
--- a/crates/control/src/ledger/mod.rs
+++ b/crates/control/src/ledger/mod.rs
@@ -134,6 +134,11 @@
         self.homes.get(home).filter(|record| !record.is_fenced).map(|record| record.generation)
     }
 
+    /// Returns the serial from which no job of `home` has been accepted.
+    pub fn unused_from(&self, home: &HomeKey) -> u64 {
+        self.homes.get(home).map_or(0, |record| record.unused_from)
+    }
+
     /// Returns the homes owned and not fenced, with their generations.
     pub fn owned_homes(&self) -> impl Iterator<Item = (&HomeKey, Generation)> {
         self.homes.iter().filter(|(_, record)| !record.is_fenced).map(|(home, record)| (home, record.generation))
@@ -309,6 +314,11 @@
         self.close(now, place, NotRunReason::Cancelled)
     }
 
+    /// Decides a job that cannot be on time any more.
+    pub fn give_up(&mut self, now: MonoTime, place: &JobPlace) -> Vec<LedgerEffect> {
+        self.close(now, place, NotRunReason::Deadline)
+    }
+
     /// Decides the jobs whose deadline or closing time has come.
     pub fn expire(&mut self, now: MonoTime) -> Vec<LedgerEffect> {
         let mut effects = Vec::new();
--- a/crates/control/src/run_times.rs
+++ b/crates/control/src/run_times.rs
@@ -9,6 +9,10 @@
 const SAMPLES_KEPT: usize = 256;
 /// Samples needed before a learnt time is used.
 const SAMPLES_NEEDED: usize = 16;
+/// Samples between two computations of the quantiles.
+const QUANTILE_PERIOD: usize = 16;
+/// Percentile that counts as the tail.
+const TAIL_PERCENT: usize = 95;
 
 /// A `RunTimes` keeps the newest run times of each service.
 #[derive(Clone, Debug, Default)]
@@ -21,10 +25,24 @@
     samples: Vec<Duration>,
     next: usize,
     total: Duration,
+    recorded: usize,
+    median: Duration,
+    tail: Duration,
 }
 
 impl SampleRing {
     fn record(&mut self, span: Duration) {
+        self.keep(span);
+        self.recorded += 1;
+        if self.recorded.is_multiple_of(QUANTILE_PERIOD) {
+            let mut sorted = self.samples.clone();
+            sorted.sort_unstable();
+            self.median = sorted[(sorted.len() - 1) / 2];
+            self.tail = sorted[(sorted.len() - 1) * TAIL_PERCENT / 100];
+        }
+    }
+
+    fn keep(&mut self, span: Duration) {
         self.total += span;
         if self.samples.len() < SAMPLES_KEPT {
             self.samples.push(span);
@@ -51,14 +69,13 @@
         (ring.samples.len() >= SAMPLES_NEEDED).then(|| ring.total / ring.samples.len() as u32)
     }
 
-    /// Returns the `percent` quantile of run times, once enough runs were seen.
-    pub fn quantile(&self, service: &ServiceName, percent: usize) -> Option<Duration> {
-        let ring = self.services.get(service)?;
-        if ring.samples.len() < SAMPLES_NEEDED {
-            return None;
-        }
-        let mut sorted = ring.samples.clone();
-        sorted.sort_unstable();
-        Some(sorted[(sorted.len() - 1) * percent.min(100) / 100])
+    /// Returns the median run time, once enough runs were seen.
+    pub fn median(&self, service: &ServiceName) -> Option<Duration> {
+        self.services.get(service).filter(|ring| ring.recorded >= SAMPLES_NEEDED).map(|ring| ring.median)
+    }
+
+    /// Returns the run time that only one task in twenty exceeds, once enough runs were seen.
+    pub fn tail(&self, service: &ServiceName) -> Option<Duration> {
+        self.services.get(service).filter(|ring| ring.recorded >= SAMPLES_NEEDED).map(|ring| ring.tail)
     }
 }
--- /dev/null
+++ b/crates/control/tests/decision_parts.rs
@@ -0,0 +1,147 @@
+//! Tickets, breakers, quotas, budgets, proofs and the configuration, each by itself.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use vanillacleat_control::breaker::BreakerBoard;
+use vanillacleat_control::config_holder::ConfigHolder;
+use vanillacleat_control::quorum::WitnessBook;
+use vanillacleat_control::retry_budget::RetryBudget;
+use vanillacleat_control::team_limits::TeamLimits;
+use vanillacleat_control::ticket_mint::TicketMint;
+use vanillacleat_core::config::{ConfigChange, ConfigEdit, ConfigValue};
+use vanillacleat_core::ids::{AgentId, HomeKey, Incarnation, ServiceName, ZoneName};
+use vanillacleat_core::ticket::TicketSecret;
+use vanillacleat_core::units::{MonoTime, Revision};
+
+const NOW: MonoTime = MonoTime::from_millis(100_000);
+
+fn service() -> ServiceName {
+    "pricing".parse().unwrap()
+}
+
+fn agent(index: usize) -> AgentId {
+    format!("agent-{index}").parse().unwrap()
+}
+
+fn zone(index: usize) -> ZoneName {
+    format!("zone-{index}").parse().unwrap()
+}
+
+#[test]
+fn tickets_expire_in_order() {
+    let home = HomeKey { entry: "entry-a".parse().unwrap(), incarnation: Incarnation(1) };
+    let mut mint = TicketMint::new(home, TicketSecret::new(b"key"), Duration::from_secs(10));
+    mint.give(MonoTime::from_millis(0), 5);
+    mint.give(MonoTime::from_millis(4_000), 5);
+    assert_eq!(mint.expired_below(MonoTime::from_millis(13_999)), 0);
+    assert_eq!(mint.expired_below(MonoTime::from_millis(14_000)), 5, "serial 4 was given out before 4 s");
+    assert_eq!(mint.next_serial(), 10);
+}
+
+#[test]
+fn breaker_allows_single_trials() {
+    let mut board = BreakerBoard::new(50);
+    for _ in 0..4 {
+        assert!(board.allows(NOW, &service(), &agent(0)));
+        board.note_outcome(NOW, &service(), &agent(0), false, 4);
+    }
+    assert!(!board.allows(NOW, &service(), &agent(0)));
+    let later = NOW + Duration::from_secs(1);
+    assert!(board.allows(later, &service(), &agent(0)));
+    board.note_sent(&service(), &agent(0));
+    assert!(!board.allows(later, &service(), &agent(0)), "one trial at a time");
+    board.note_outcome(later, &service(), &agent(0), false, 4);
+    assert!(!board.allows(later + Duration::from_secs(1), &service(), &agent(0)), "the wait doubles");
+    let mut at = later + Duration::from_secs(2);
+    for _ in 0..3 {
+        assert!(board.allows(at, &service(), &agent(0)));
+        board.note_sent(&service(), &agent(0));
+        board.note_outcome(at, &service(), &agent(0), true, 4);
+        at = at + Duration::from_millis(1);
+    }
+    assert!(board.open_breakers().is_empty());
+}
+
+#[test]
+fn breakers_leave_half() {
+    let mut board = BreakerBoard::new(50);
+    for index in 0..4 {
+        for _ in 0..8 {
+            board.note_outcome(NOW, &service(), &agent(index), false, 4);
+        }
+    }
+    assert_eq!(board.open_breakers().len(), 2, "a service that fails everywhere is not taken out");
+}
+
+#[test]
+fn retries_stay_in_budget() {
+    let mut budget = RetryBudget::new(10);
+    let retried = (0..1_000).filter(|_| {
+        budget.earn();
+        budget.try_spend()
+    });
+    assert_eq!(retried.count(), 101, "ten in a hundred, and the one saved at the start");
+}
+
+#[test]
+fn quota_follows_demand() {
+    let (team, peer) = ("buyers".parse().unwrap(), "entry-b".parse().unwrap());
+    let mut limits = TeamLimits::default();
+    assert_eq!(limits.share(&team, 40, 3), 40);
+    limits.note_demand(&peer, &[(team.clone(), 30)]);
+    assert_eq!(limits.share(&team, 40, 10), 10);
+    assert_eq!(limits.share(&team, 40, 0), 1, "the first task need not wait");
+    limits.forget_peer(&peer);
+    assert_eq!(limits.share(&team, 40, 10), 40);
+}
+
+#[test]
+fn conflicting_change_is_refused() {
+    let change = |id: &str, based_on, edits| ConfigChange { id: id.parse().unwrap(), based_on: Revision(based_on), edits };
+    let first = ConfigValue::default().apply(&change("a", 0, vec![ConfigEdit::ZoneOut(zone(0))])).unwrap();
+    let other = first.apply(&change("b", 0, vec![ConfigEdit::ZoneOut(zone(1))])).unwrap();
+    assert_eq!((other.revision, other.zones_out.len()), (Revision(2), 2), "changes of other subjects are rebased");
+    let conflict = other.apply(&change("c", 0, vec![ConfigEdit::ZoneIn(zone(0))])).unwrap_err();
+    assert_eq!((conflict.subject.as_str(), conflict.touched_at), ("zone/zone-0", Revision(1)));
+    assert!(other.apply(&change("d", 1, vec![ConfigEdit::ZoneIn(zone(0))])).is_ok());
+    assert_eq!(other.find_change(&"a".parse().unwrap()), Some(Revision(1)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Late, doubled and reordered values never move a holder back.
+    #[test]
+    fn config_never_steps_back(revisions in prop::collection::vec(0_u64..20, 1..60)) {
+        let mut holder = ConfigHolder::default();
+        let mut highest = Revision(0);
+        for revision in revisions {
+            holder.offer(ConfigValue { revision: Revision(revision), ..ConfigValue::default() });
+            highest = highest.max(Revision(revision));
+            prop_assert_eq!(holder.revision(), highest);
+        }
+    }
+
+    /// A change that a majority confirmed is seen by every later proof: the two sets share a process.
+    #[test]
+    fn proof_meets_confirmation(
+        zones in prop::collection::vec(1_usize..5, 1..6),
+        confirmed in prop::collection::vec(any::<bool>(), 30),
+        asked in prop::collection::vec(any::<bool>(), 30),
+    ) {
+        let names: Vec<ZoneName> = (0..zones.len()).map(zone).collect();
+        let mut acceptor = WitnessBook::new(names.clone());
+        let mut asker = WitnessBook::new(names);
+        let processes: Vec<(usize, usize)> = zones.iter().enumerate().flat_map(|(zone, count)| (0..*count).map(move |index| (zone, index))).collect();
+        let mut has_newer = false;
+        for (index, (zone_index, process)) in processes.iter().enumerate() {
+            let name = format!("{zone_index}-{process}");
+            acceptor.note(NOW, &name, &zone(*zone_index), Revision(u64::from(confirmed[index])), None);
+            asker.note(NOW, &name, &zone(*zone_index), Revision(0), asked[index].then_some(NOW));
+            has_newer |= confirmed[index] && asked[index];
+        }
+        let both = acceptor.is_confirmed(Revision(1)) && asker.proof().is_some();
+        prop_assert!(!both || has_newer);
+    }
+}
--- /dev/null
+++ b/crates/control/tests/gate_rules.rs
@@ -0,0 +1,191 @@
+//! What the start gate admits, refuses and remembers.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use vanillacleat_control::gate::{StartGate, UpstreamNotice};
+use vanillacleat_core::config::{ConfigChange, ConfigEdit, ConfigValue};
+use vanillacleat_core::frames::{BounceReason, HomeFence, JobSeal, TaskAttempt, TaskOrder, TaskStatus};
+use vanillacleat_core::ids::{EntryId, HomeKey, Incarnation, TaskKey};
+use vanillacleat_core::outcome::{TaskOutcome, UnknownReason};
+use vanillacleat_core::settings::{FreshnessPolicy, GateSettings};
+use vanillacleat_core::units::{ByteCount, Generation, Millis, MonoTime, Revision};
+
+const NOW: MonoTime = MonoTime::from_millis(1_000);
+const FIRST: Generation = Generation(0);
+
+fn open_settings() -> GateSettings {
+    GateSettings { freshness: FreshnessPolicy::Open, queue_limit: 1, ..GateSettings::default() }
+}
+
+fn make_gate(settings: GateSettings, slots: u32) -> StartGate {
+    let mut gate = StartGate::new("burgos".parse().unwrap(), settings);
+    gate.upstreams().announce(NOW, make_notice(slots));
+    gate
+}
+
+fn make_notice(slots: u32) -> UpstreamNotice {
+    let address = SmolStr::new("127.0.0.1:1");
+    UpstreamNotice { upstream: "pricing-1".parse().unwrap(), service: "pricing".parse().unwrap(), address, slots, connections: 64 }
+}
+
+fn make_home() -> HomeKey {
+    let entry: EntryId = "entry-a".parse().unwrap();
+    HomeKey { entry, incarnation: Incarnation(7) }
+}
+
+fn make_order(serial: u64, attempt: u32) -> TaskOrder {
+    let key = TaskKey { home: make_home(), serial, task: 0 };
+    TaskOrder { key, attempt, service: "pricing".parse().unwrap(), left_ms: Millis(5_000), payload: String::new() }
+}
+
+fn make_attempt(serial: u64, attempt: u32) -> TaskAttempt {
+    TaskAttempt { key: make_order(serial, attempt).key, attempt }
+}
+
+fn make_config(edit: ConfigEdit) -> ConfigValue {
+    let change = ConfigChange { id: "c".parse().unwrap(), based_on: Revision(0), edits: vec![edit] };
+    ConfigValue::default().apply(&change).unwrap()
+}
+
+/// Admits an order and returns the reason if it bounced.
+fn admit(gate: &mut StartGate, order: TaskOrder) -> Option<BounceReason> {
+    match gate.admit(NOW, FIRST, order)?.status {
+        TaskStatus::Bounced(reason) => Some(reason),
+        other => panic!("neither queued nor bounced: {other:?}"),
+    }
+}
+
+#[test]
+fn same_task_starts_once() {
+    let mut gate = make_gate(open_settings(), 8);
+    assert_eq!(admit(&mut gate, make_order(1, 1)), None);
+    assert_eq!(gate.start_ready(NOW).len(), 1);
+    let again = gate.admit(NOW, FIRST, make_order(1, 2)).unwrap();
+    assert_eq!(again.status, TaskStatus::Held);
+    assert!(gate.start_ready(NOW).is_empty());
+}
+
+#[test]
+fn reclaimed_attempt_never_starts() {
+    let mut gate = make_gate(open_settings(), 8);
+    assert_eq!(gate.reclaim(NOW, FIRST, &make_attempt(1, 1)).status, TaskStatus::Bounced(BounceReason::Reclaimed));
+    assert_eq!(admit(&mut gate, make_order(1, 1)), Some(BounceReason::Reclaimed));
+    assert_eq!(admit(&mut gate, make_order(1, 2)), None, "a later attempt is news");
+}
+
+#[test]
+fn bounced_attempt_stays_bounced() {
+    let mut gate = make_gate(open_settings(), 1);
+    assert_eq!(admit(&mut gate, make_order(1, 1)), None);
+    assert_eq!(admit(&mut gate, make_order(2, 1)), None);
+    assert_eq!(admit(&mut gate, make_order(3, 1)), Some(BounceReason::QueueFull));
+    gate.start_ready(NOW);
+    assert_eq!(admit(&mut gate, make_order(3, 1)), Some(BounceReason::Reclaimed), "a doubled frame is refused");
+}
+
+#[rstest]
+#[case::zone_out(ConfigEdit::ZoneOut("burgos".parse().unwrap()), Some(BounceReason::ZoneOut))]
+#[case::other_zone_out(ConfigEdit::ZoneOut("navarra".parse().unwrap()), None)]
+#[case::upstream_retired(ConfigEdit::UpstreamRetire("pricing-1".parse().unwrap()), Some(BounceReason::NoUpstream))]
+fn operators_take_out(#[case] edit: ConfigEdit, #[case] expected: Option<BounceReason>) {
+    let mut gate = make_gate(open_settings(), 1);
+    admit(&mut gate, make_order(1, 1));
+    gate.start_ready(NOW);
+    assert_eq!(admit(&mut gate, make_order(2, 1)), None);
+    gate.offer_config(make_config(edit));
+    let queued = gate.recheck(NOW).pop().map(|result| result.status);
+    assert_eq!(queued, expected.map(TaskStatus::Bounced), "queued tasks go back");
+    assert_eq!(gate.running(), 1, "what runs is not cut off");
+}
+
+#[test]
+fn leaving_upstream_gets_nothing() {
+    let mut gate = make_gate(open_settings(), 8);
+    gate.upstreams().leave(&"pricing-1".parse().unwrap());
+    assert_eq!(admit(&mut gate, make_order(1, 1)), Some(BounceReason::NoUpstream));
+    gate.upstreams().announce(NOW, make_notice(8));
+    assert_eq!(admit(&mut gate, make_order(1, 2)), None);
+}
+
+#[test]
+fn stale_gate_starts_nothing() {
+    let settings = GateSettings { freshness: FreshnessPolicy::Proven, ..open_settings() };
+    let mut gate = make_gate(settings, 8);
+    assert_eq!(admit(&mut gate, make_order(1, 1)), Some(BounceReason::Stale));
+    gate.freshness().note(NOW, Duration::from_millis(300));
+    assert_eq!(admit(&mut gate, make_order(1, 2)), None);
+    let late = NOW + Duration::from_millis(2_501);
+    assert!(gate.start_ready(late).is_empty(), "the proof was taken 300 ms before the question");
+}
+
+#[test]
+fn fence_stops_older_owner() {
+    let mut gate = make_gate(open_settings(), 1);
+    admit(&mut gate, make_order(1, 1));
+    gate.start_ready(NOW);
+    admit(&mut gate, make_order(2, 1));
+    gate.seal(NOW, &JobSeal { fence: HomeFence { home: make_home(), generation: FIRST }, serials: vec![9] });
+    let inventory = gate.fence(NOW, &HomeFence { home: make_home(), generation: Generation(1) });
+    let listed: Vec<u64> = inventory.started.iter().map(|result| result.key.serial).collect();
+    assert_eq!((listed, inventory.sealed), (vec![1], vec![9]));
+    assert_eq!(admit(&mut gate, make_order(3, 1)), Some(BounceReason::Fenced));
+    let reclaimed = gate.reclaim(NOW, FIRST, &make_attempt(4, 1));
+    assert_eq!(reclaimed.status, TaskStatus::Bounced(BounceReason::Fenced), "an old owner learns nothing it could act on");
+    assert!(!gate.seal(NOW, &JobSeal { fence: HomeFence { home: make_home(), generation: FIRST }, serials: vec![10] }));
+    assert_eq!(gate.admit(NOW, Generation(1), make_order(2, 1)), None, "the new owner places the queued task");
+}
+
+#[test]
+fn cancel_spares_running_tasks() {
+    let mut gate = make_gate(open_settings(), 1);
+    admit(&mut gate, make_order(1, 1));
+    gate.start_ready(NOW);
+    admit(&mut gate, make_order(2, 1));
+    assert_eq!(gate.cancel(NOW, FIRST, &make_attempt(1, 1)).status, TaskStatus::Abandoned);
+    assert_eq!(gate.cancel(NOW, FIRST, &make_attempt(2, 1)).status, TaskStatus::Bounced(BounceReason::Cancelled));
+    let key = make_order(1, 1).key;
+    let late = gate.finish(&key, &"pricing-1".parse().unwrap(), TaskOutcome::Done("late".into()), Duration::ZERO);
+    assert_eq!(late, None, "nobody wants an abandoned result");
+}
+
+#[test]
+fn unreachable_upstream_bounces() {
+    let mut gate = make_gate(open_settings(), 8);
+    admit(&mut gate, make_order(1, 1));
+    let start = gate.start_ready(NOW).remove(0);
+    let result = gate.unstart(NOW, &start.key, &start.upstream);
+    assert_eq!(result.status, TaskStatus::Bounced(BounceReason::NoUpstream));
+    assert_eq!(gate.running(), 0);
+    assert_eq!(admit(&mut gate, make_order(1, 2)), Some(BounceReason::NoUpstream), "until it announces itself again");
+}
+
+#[test]
+fn forgotten_task_never_starts() {
+    let settings = GateSettings { retention_ms: Millis(2_000), ..open_settings() };
+    let mut gate = make_gate(settings, 8);
+    admit(&mut gate, make_order(5, 1));
+    let start = gate.start_ready(NOW).remove(0);
+    gate.finish(&start.key, &start.upstream, TaskOutcome::Done("yes".into()), Duration::ZERO);
+    gate.forget_old(NOW + Duration::from_millis(2_001));
+    assert_eq!(gate.remembered(), (0, 0));
+    let expected = TaskStatus::Ended(TaskOutcome::Unknown(UnknownReason::AnswerDropped));
+    assert_eq!(gate.admit(NOW, FIRST, make_order(5, 1)).unwrap().status, expected);
+    assert_eq!(gate.admit(NOW, FIRST, make_order(4, 1)).unwrap().status, expected, "older serials have expired as well");
+    assert_eq!(admit(&mut gate, make_order(6, 1)), None);
+}
+
+#[test]
+fn answers_fit_their_budget() {
+    let settings = GateSettings { answer_bytes: ByteCount(10), ..open_settings() };
+    let mut gate = make_gate(settings, 8);
+    for serial in 0..4 {
+        admit(&mut gate, make_order(serial, 1));
+        let start = gate.start_ready(NOW).remove(0);
+        gate.finish(&start.key, &start.upstream, TaskOutcome::Done("12345".into()), Duration::ZERO);
+    }
+    assert_eq!(gate.remembered(), (4, 10), "tasks are remembered when their answers are not");
+    let dropped = gate.reclaim(NOW, FIRST, &make_attempt(0, 1));
+    assert_eq!(dropped.status, TaskStatus::Ended(TaskOutcome::Unknown(UnknownReason::AnswerDropped)));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,4 +4,5 @@
 pub mod checks;
 pub mod fake_store;
 pub mod faults;
+pub mod trace;
 pub mod world;
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -21,6 +21,7 @@
 
 use super::fake_store::FakeStore;
 use super::faults::{FaultKind, TimedFault};
+use super::trace::{show_agent_frame, show_entry_frame, show_peer_call, show_reply, show_store_call};
 
 /// Time between two ticks of each process.
 const TICK: Duration = Duration::from_millis(50);
@@ -84,7 +85,6 @@
     pub ticket: Option<Ticket>,
     pub refusals: Vec<RefusalCode>,
     pub is_settled: bool,
-    open_calls: usize,
 }
 
 /// A `ProcessNode` is a process with its run's number.
@@ -134,6 +134,7 @@
     pub jobs: Vec<CallerJob>,
     pub store: FakeStore,
     pub logs: Vec<String>,
+    pub trace: Vec<String>,
     options: WorldOptions,
     rng: ChaCha8Rng,
     entries: Vec<ProcessNode<EntryControl>>,
@@ -164,6 +165,7 @@
             jobs: Vec::new(),
             store: FakeStore::default(),
             logs: Vec::new(),
+            trace: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             entries: Vec::new(),
             agents: Vec::new(),
@@ -184,8 +186,7 @@
             world.start_agent(index);
         }
         for index in 0..world.options.jobs {
-            let spec = make_spec(index, world.options.tasks);
-            world.jobs.push(CallerJob { spec, ticket: None, refusals: Vec::new(), is_settled: false, open_calls: 0 });
+            world.add_job(world.options.tasks);
             let at = MonoTime::from_millis(2_000 + world.rng.random_range(0..8_000));
             world.push(at, WorldEvent::Submit(index));
             if index % 2 == 0 {
@@ -197,6 +198,11 @@
         world
     }
 
+    pub fn add_job(&mut self, tasks: usize) {
+        let spec = make_spec(self.jobs.len(), tasks);
+        self.jobs.push(CallerJob { spec, ticket: None, refusals: Vec::new(), is_settled: false });
+    }
+
     pub fn plan(&mut self, faults: &[TimedFault]) {
         for fault in faults {
             self.push(MonoTime::from_millis(fault.at_ms), WorldEvent::Fault(fault.kind.clone()));
@@ -251,7 +257,6 @@
             return;
         };
         let call = CallerCall::Submit(ticket, self.jobs[job].spec.clone());
-        self.jobs[job].open_calls += 1;
         self.ask(entry, call, Waiter::Job(job));
     }
 
@@ -279,6 +284,12 @@
         self.push(at, WorldEvent::Entry { index: entry, run, event: EntryEvent::Caller { reply, call } });
     }
 
+    fn note(&mut self, what: Option<String>, whom: impl Fn() -> String) {
+        if let Some(what) = what {
+            self.trace.push(format!("{} {}: {what}", self.now, whom()));
+        }
+    }
+
     fn push(&mut self, at: MonoTime, event: WorldEvent) {
         self.next += 1;
         self.queue.insert((at.max(self.now), self.next), event);
@@ -444,6 +455,7 @@
                     return;
                 };
                 let (entry, entry_run) = (link.entry, link.entry_run);
+                self.note(show_agent_frame(&envelope.body), || format!("agent-{index} -> entry-{entry}"));
                 for at in self.deliveries(session, true) {
                     let event = EntryEvent::Agent { session, frame: envelope.clone() };
                     self.push(at, WorldEvent::Entry { index: entry, run: entry_run, event });
@@ -499,14 +511,19 @@
                         continue;
                     };
                     let (agent, agent_run) = (link.agent, link.agent_run);
+                    self.note(show_entry_frame(&envelope.body), || format!("entry-{index} -> agent-{agent}"));
                     for at in self.deliveries(session, false) {
                         let event = AgentEvent::Frame { session, frame: envelope.clone() };
                         self.push(at, WorldEvent::Agent { index: agent, run: agent_run, event });
                     }
                 }
                 EntryAction::Close { session } => self.break_link(session),
-                EntryAction::CallPeer { call, address, envelope, .. } => self.call_peer(index, run, call, &address, envelope),
+                EntryAction::CallPeer { call, address, envelope, .. } => {
+                    self.note(show_peer_call(&envelope.body), || format!("entry-{index} -> {address}"));
+                    self.call_peer(index, run, call, &address, envelope);
+                }
                 EntryAction::CallPlatform { call, op } => {
+                    self.note(show_store_call(&op), || format!("entry-{index} -> store"));
                     let at = self.now + Duration::from_millis(self.rng.random_range(1..8));
                     self.push(at, WorldEvent::StoreCall { entry: index, run, call, op });
                 }
@@ -548,8 +565,14 @@
                 let envelope = body.to_peer().map(|body| Envelope { revision, body });
                 self.answer_peer(entry, run, call, envelope);
             }
-            Some(Waiter::Job(job)) => self.take_job_reply(job, index, body),
-            Some(Waiter::Change(edit, asked_at)) => self.take_change_reply(edit, asked_at, body),
+            Some(Waiter::Job(job)) => {
+                self.note(Some(show_reply(&body)), || format!("entry-{index} -> caller of job {job}"));
+                self.take_job_reply(job, index, body);
+            }
+            Some(Waiter::Change(edit, asked_at)) => {
+                self.note(Some(show_reply(&body)), || format!("entry-{index} -> operator"));
+                self.take_change_reply(edit, asked_at, body);
+            }
             None => {}
         }
     }
--- a/crates/core/src/frames.rs
+++ b/crates/core/src/frames.rs
@@ -322,7 +322,11 @@
     pub draining: bool,
     /// Whether the sender has had a proof since it started, so that it counts as a witness.
     pub is_settled: bool,
-    /// Agent runs that the sender used or may use; absent while the receiver has the newest list.
+    /// Counts the changes of the sender's list of agent runs.
+    pub version: u64,
+    /// The version of the receiver's list that the sender holds; zero if none.
+    pub holds: u64,
+    /// Agent runs that the sender used or may use; absent while the receiver holds the newest list.
     pub workers: Option<Vec<WorkerNote>>,
     /// Homes that the sender owns besides its own run.
     pub owned: Vec<HomeFence>,
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -1,12 +1,16 @@
 //! Settings of the HTTP servers and the body of every refusal.
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
 
 use rocket::data::{Limits, ToByteUnit};
+use rocket::fairing::AdHoc;
 use rocket::http::{Header, Status};
 use rocket::request::Request;
 use rocket::response::{self, Responder, Response};
 use rocket::serde::json::Json;
+use rocket::{Build, Rocket};
+use tokio::sync::oneshot;
 use vanillacleat_core::api::ProblemBody;
 
 /// Longest request body, in bytes.
@@ -46,3 +50,29 @@
         builder.ok()
     }
 }
+
+/// Starts a server on the current runtime and returns once it listens, or why it can't.
+pub async fn launch_server(server: Rocket<Build>) -> Result<(), ServerError> {
+    let (listening, has_listened) = oneshot::channel();
+    let listening = Mutex::new(Some(listening));
+    let announce = AdHoc::on_liftoff("listening", move |_| {
+        Box::pin(async move {
+            let sender = listening.lock().ok().and_then(|mut listening| listening.take());
+            sender.map(|sender| sender.send(()));
+        })
+    });
+    let launched = tokio::spawn(server.attach(announce).launch());
+    tokio::select! {
+        Ok(()) = has_listened => Ok(()),
+        ended = launched => match ended {
+            // Rocket's error panics when it is dropped unread, so it is read here.
+            Ok(Err(error)) => Err(ServerError(error.kind().to_string())),
+            _ => Err(ServerError("the server has ended".to_owned())),
+        },
+    }
+}
+
+/// A `ServerError` says why a server could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("the HTTP server could not start: {0}")]
+pub struct ServerError(String);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,7 +11,7 @@
 mod signals;
 
 pub use control_thread::{spawn_control, ControlStep, EventSender, ThreadPause};
-pub use http_server::{server_config, ProblemReply, BODY_BYTES_MAX};
+pub use http_server::{launch_server, server_config, ProblemReply, ServerError, BODY_BYTES_MAX};
 pub use logging::init_logging;
 pub use metrics_page::{install_metrics, render_metrics};
 pub use process_runtime::ProcessRuntime;
--- a/crates/entry/src/http_api.rs
+++ b/crates/entry/src/http_api.rs
@@ -14,7 +14,7 @@
 use vanillacleat_core::outcome::{CallRefusal, RefusalCode, TaskOutcome};
 use vanillacleat_core::ticket::Ticket;
 use vanillacleat_core::units::Millis;
-use vanillacleat_daemon::{render_metrics, server_config, EventSender, ProblemReply};
+use vanillacleat_daemon::{launch_server, render_metrics, server_config, EventSender, ProblemReply, ServerError};
 
 use crate::control_loop::EntryInput;
 
@@ -23,14 +23,12 @@
 type JobBody<'r> = Result<Json<JobSpec>, json::Error<'r>>;
 
 /// Starts the server; it ends with the runtime.
-pub(crate) async fn start_server(address: SocketAddr, events: EventSender<EntryInput>) -> Result<(), Box<rocket::Error>> {
+pub(crate) async fn start_server(address: SocketAddr, events: EventSender<EntryInput>) -> Result<(), ServerError> {
     let jobs = routes![give_tickets, submit_job, submit_named, query_job, cancel_job, run_request];
     let operators = routes![read_config, change_config, health, state, metrics];
     let server = rocket::custom(server_config(address)).manage(events);
     let server = server.mount("/", jobs).mount("/", operators).register("/", catchers![not_served]);
-    let server = server.ignite().await.map_err(Box::new)?;
-    tokio::spawn(server.launch());
-    Ok(())
+    launch_server(server).await
 }
 
 #[post("/v1/tickets?<count>")]
--- /dev/null
+++ b/crates/wire/tests/frame_limits.rs
@@ -0,0 +1,97 @@
+//! Bad bytes and bad streams cost one clear error and nothing else.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use vanillacleat_wire::{
+    accept_streams, decode_body, encode_frame, FrameBuffer, FrameReceiver, FrameSender, IncomingStream, WireConnection, WireError,
+    FRAME_BYTES_MAX,
+};
+
+#[test]
+fn frames_arrive_in_pieces() {
+    let bytes = encode_frame(&("task", 7_u64)).unwrap();
+    let mut buffer = FrameBuffer::default();
+    for byte in &bytes[..bytes.len() - 1] {
+        buffer.extend(&[*byte]);
+        assert!(buffer.try_next::<(String, u64)>().unwrap().is_none());
+    }
+    buffer.extend(&bytes[bytes.len() - 1..]);
+    assert_eq!(buffer.try_next::<(String, u64)>().unwrap(), Some(("task".to_owned(), 7)));
+}
+
+#[test]
+fn oversized_length_is_refused() {
+    let mut buffer = FrameBuffer::default();
+    buffer.extend(&(FRAME_BYTES_MAX as u32 + 1).to_be_bytes());
+    assert!(matches!(buffer.try_next::<String>(), Err(WireError::Oversized(_))));
+}
+
+#[test]
+fn oversized_frame_is_not_sent() {
+    assert!(encode_frame(&"x".repeat(FRAME_BYTES_MAX + 1)).is_err());
+}
+
+#[rstest]
+#[case::garbage(&[0xff; 32])]
+#[case::empty(&[])]
+#[case::left_over(&[1, b'a', 0, 0])]
+#[case::length_beyond_body(&[0xfc, 0xff, 0xff, 0xff, 0x7f])]
+fn bad_bodies_are_refused(#[case] body: &[u8]) {
+    assert!(matches!(decode_body::<String>(body), Err(WireError::Undecodable(_))));
+}
+
+async fn start_echo() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            tokio::spawn(accept_streams(socket, |stream| drop(tokio::spawn(answer(stream)))));
+        }
+    });
+    address
+}
+
+async fn answer(stream: IncomingStream) {
+    match stream {
+        IncomingStream::Call(call) => {
+            let read: Result<(String, FrameSender<String>), WireError> = call.read().await;
+            if let Ok((text, mut sender)) = read {
+                let _ = sender.send_last(&format!("heard {text}")).await;
+            }
+        }
+        IncomingStream::Session(session) => {
+            let (mut sender, mut receiver): (FrameSender<u64>, FrameReceiver<u64>) = session.open().unwrap();
+            while let Ok(number) = receiver.receive().await {
+                let _ = sender.send(&(number + 1)).await;
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn bad_peer_disturbs_nobody() {
+    let address = start_echo().await;
+    let good = WireConnection::connect(address).await.unwrap();
+    let (mut sender, mut receiver): (FrameSender<u64>, FrameReceiver<u64>) = good.open_session().await.unwrap();
+    let mut garbage = TcpStream::connect(address).await.unwrap();
+    garbage.write_all(&[0x47; 4_096]).await.unwrap();
+    let mistyped = WireConnection::connect(address).await.unwrap();
+    let refused: Result<String, WireError> = mistyped.call(&vec![u64::MAX; 8]).await;
+    assert!(refused.is_err());
+    sender.send(&41).await.unwrap();
+    assert_eq!(receiver.receive().await.unwrap(), 42);
+    let reply: String = good.call(&"you".to_owned()).await.unwrap();
+    assert_eq!(reply, "heard you");
+}
+
+#[tokio::test]
+async fn large_frames_pass() {
+    let address = start_echo().await;
+    let connection = WireConnection::connect(address).await.unwrap();
+    let text = "y".repeat(3_000_000);
+    let reply: String = connection.call(&text).await.unwrap();
+    assert_eq!(reply.len(), text.len() + "heard ".len());
+}
