--- a/crates/agent/src/control_loop.rs
+++ b/crates/agent/src/control_loop.rs
@@ -25,6 +25,8 @@
     Event(AgentEvent),
     /// A session's writer, before the session's first event.
     Opened(SessionId, SessionWriter),
+    /// A question whether work is taken.
+    Health(oneshot::Sender<bool>),
     /// A request for the state.
     Dump(oneshot::Sender<serde_json::Value>),
     /// The daemon is dropped.
@@ -82,6 +84,10 @@
                 let _ = reply.send(self.control.dump());
                 return ControlStep::Continue;
             }
+            AgentInput::Health(reply) => {
+                let _ = reply.send(!self.control.gate().is_draining());
+                return ControlStep::Continue;
+            }
             AgentInput::Stop => return ControlStep::Stop,
         };
         if let AgentEvent::SessionGone { session: Some(session), .. } = &event {
--- a/crates/agent/src/http_api.rs
+++ b/crates/agent/src/http_api.rs
@@ -46,8 +46,10 @@
 
 #[get("/v1/health")]
 async fn health(events: &Events) -> (Status, &'static str) {
-    match read_state(events).await {
-        Some(state) if state["draining"] == false => (Status::Ok, "ready\n"),
+    let (reply, answer) = oneshot::channel();
+    events.send(AgentInput::Health(reply));
+    match answer.await {
+        Ok(true) => (Status::Ok, "ready\n"),
         _ => (Status::ServiceUnavailable, "not ready\n"),
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -27,6 +27,19 @@
         #[bpaf(argument("FILE"), optional)]
         report: Option<PathBuf>,
     },
+    /// Measures what idle sessions cost and what remembered things weigh
+    #[bpaf(command)]
+    Measure {
+        /// Agents
+        #[bpaf(argument("COUNT"), fallback(30))]
+        agents: usize,
+        /// Entries
+        #[bpaf(argument("COUNT"), fallback(3))]
+        entries: usize,
+        /// How long the idle deployment is watched
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        seconds: u64,
+    },
     /// Submits a job and prints its answer
     #[bpaf(command)]
     Submit(#[bpaf(external(submit_options))] SubmitOptions),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod commands;
 pub mod deployment;
 pub mod load;
+pub mod measure;
 pub mod operators;
 pub mod quickstart;
 pub mod sheet;
@@ -21,6 +22,7 @@
     let outcome = match command {
         CliCommand::Quickstart { hold } => quickstart::run(hold),
         CliCommand::Load { settings, report } => load::run(&settings, report.as_deref()),
+        CliCommand::Measure { agents, entries, seconds } => measure::run(agents, entries, seconds),
         CliCommand::Submit(options) => operators::submit(&options),
         CliCommand::Zone(change) => operators::change_zone(&change),
         CliCommand::Upstream(change) => operators::change_upstream(&change),
--- a/crates/cli/src/load/driver.rs
+++ b/crates/cli/src/load/driver.rs
@@ -61,6 +61,8 @@
     let started_at = Instant::now();
     let callers = spawn_callers(&deployment, &client, &jobs, &tickets, started_at);
     let changes = run_faults(&mut deployment, &client, settings, &tickets, started_at);
+    std::thread::sleep(Duration::from_secs(settings.seconds).saturating_sub(started_at.elapsed()));
+    let counters = deployment.runtime.block_on(read_counters(&client, &deployment));
     let seen: Vec<JobSeen> = deployment.runtime.block_on(join_callers(callers));
     let elapsed = started_at.elapsed();
     let run = RunSeen {
@@ -71,7 +73,7 @@
         seen,
         changes,
         starts: deployment.log.records().split_off(probes),
-        counters: deployment.runtime.block_on(read_counters(&client, &deployment)),
+        counters,
         counters_before,
         platform_calls: deployment.platform.calls() - calls_before,
         entry_time: thread_time("entry-").saturating_sub(entry_time),
--- a/crates/cli/src/load/mod.rs
+++ b/crates/cli/src/load/mod.rs
@@ -3,7 +3,7 @@
 mod driver;
 mod faults;
 mod ideal;
-mod process_time;
+pub mod process_time;
 mod report;
 mod settings;
 mod single_requests;
--- a/crates/cli/src/load/report.rs
+++ b/crates/cli/src/load/report.rs
@@ -35,7 +35,7 @@
     pub changes: Vec<ChangeSeen>,
     /// What the upstreams saw.
     pub starts: Vec<StartRecord>,
-    /// The entries' counters after the run; empty for killed ones.
+    /// The entries' counters after the last arrival; empty for killed ones.
     pub counters: Vec<serde_json::Value>,
     /// The entries' counters before the run.
     pub counters_before: Vec<serde_json::Value>,
--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -9,6 +9,9 @@
 /// Time to come back when the wait is not known.
 const RETRY_AFTER_DEFAULT: Millis = Millis(1_000);
 
+/// Share of the deadline within which a job's estimate must fall.
+const DEADLINE_SHARE: f64 = 0.75;
+
 /// An `AdmissionView` is the state of the queue that a new job would join.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionView {
@@ -55,7 +58,7 @@
             let wait = estimate.map_or(RETRY_AFTER_DEFAULT, Millis::from_duration);
             return Some(CallRefusal::new(RefusalCode::Overloaded, "the queue is full").retry_after(wait));
         }
-        let deadline = spec.deadline_ms.to_duration();
+        let deadline = spec.deadline_ms.to_duration().mul_f64(DEADLINE_SHARE);
         let late = estimate.filter(|estimate| *estimate > deadline)?;
         let detail = format!("the job would take {} ms", late.as_millis());
         let wait = Millis::from_duration(late - deadline).max(Millis(100));
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -29,7 +29,7 @@
 /// Time without a question from which a session is asked by a frame of its own.
 pub const ASK_PERIOD: Duration = Duration::from_secs(2);
 /// Age of the best proof from which it is renewed out of turn.
-const PROOF_AGE_MAX: Duration = Duration::from_millis(2_000);
+const PROOF_AGE_MAX: Duration = Duration::from_millis(2_300);
 /// Shortest time between questions out of turn on one session.
 const HURRIED_ASK_PERIOD: Duration = Duration::from_millis(250);
 /// Time without a frame from which a session counts as broken.
--- a/crates/control/src/entry/calls.rs
+++ b/crates/control/src/entry/calls.rs
@@ -27,6 +27,7 @@
             CallerCall::Cancel(ticket) => self.take_ticket_call(reply, ticket, TicketCall::Cancel),
             CallerCall::Change(change) => self.start_change(reply, change),
             CallerCall::ReadConfig => self.reply(reply, CallerReply::Config(Box::new(self.config.value().clone()))),
+            CallerCall::Health => self.reply(reply, CallerReply::Health(!self.is_draining)),
             CallerCall::Dump => self.reply(reply, CallerReply::Dump(self.dump())),
         }
     }
--- a/crates/control/src/entry/events.rs
+++ b/crates/control/src/entry/events.rs
@@ -105,6 +105,8 @@
     Change(ConfigChange),
     /// Reads the configuration.
     ReadConfig,
+    /// Asks whether new work is taken.
+    Health,
     /// Dumps the control state.
     Dump,
 }
@@ -124,6 +126,8 @@
     Changed(ChangeOutcome),
     /// The configuration in force.
     Config(Box<ConfigValue>),
+    /// Whether new work is taken.
+    Health(bool),
     /// The control state.
     Dump(serde_json::Value),
 }
--- a/crates/control/src/entry/mod.rs
+++ b/crates/control/src/entry/mod.rs
@@ -20,7 +20,7 @@
 use rand::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
-use vanillacleat_core::frames::{EntryFrame, Envelope, PeerReply, TaskOrder};
+use vanillacleat_core::frames::{EntryFrame, Envelope, PeerReply, TaskAttempt, TaskOrder};
 use vanillacleat_core::ids::{EntryId, HomeKey, Incarnation, JobName, ZoneName};
 use vanillacleat_core::settings::PolicySettings;
 use vanillacleat_core::ticket::TicketSecret;
@@ -91,6 +91,7 @@
     forwarded: BTreeMap<CallId, ParkedCall>,
     requests: BTreeMap<ReplyId, RequestFlow>,
     seals: BTreeMap<JobPlace, SealFlow>,
+    cancels: BTreeMap<(SessionId, Generation), Vec<TaskAttempt>>,
     nonces: BTreeMap<SessionId, VecDeque<(u64, MonoTime)>>,
     questions: BTreeMap<SessionId, u64>,
     counters: EntryCounters,
@@ -111,7 +112,7 @@
     pub bounced: u64,
     /// Tasks asked after on a new session.
     pub reclaimed: u64,
-    /// Cancels sent for tasks at agents.
+    /// Cancels sent to agents, each for all tasks that one event took back there.
     pub cancelled: u64,
     /// Failed jobs sent to agents to be remembered.
     pub seals: u64,
@@ -175,6 +176,7 @@
             forwarded: BTreeMap::new(),
             requests: BTreeMap::new(),
             seals: BTreeMap::new(),
+            cancels: BTreeMap::new(),
             nonces: BTreeMap::new(),
             questions: BTreeMap::new(),
             counters: EntryCounters::default(),
@@ -203,6 +205,7 @@
             EntryEvent::Tick => self.tick(),
         }
         self.place();
+        self.send_cancels();
         self.send_seals();
         std::mem::take(&mut self.actions)
     }
@@ -255,7 +258,7 @@
     fn apply(&mut self, effects: Vec<LedgerEffect>) {
         for effect in effects {
             match effect {
-                LedgerEffect::Cancel { worker, task } => self.send_cancel(&worker, task),
+                LedgerEffect::Cancel { worker, task } => self.note_cancel(&worker, task),
                 LedgerEffect::Seal { place } => self.start_seal(place),
                 LedgerEffect::Answer { waiters, answer, .. } => {
                     let counter = if answer.is_complete() { &mut self.counters.jobs_complete } else { &mut self.counters.jobs_failed };
--- a/crates/control/src/entry/peers.rs
+++ b/crates/control/src/entry/peers.rs
@@ -6,9 +6,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use vanillacleat_core::config::ConfigValue;
-use vanillacleat_core::frames::{Envelope, HomeFence, HomeHandover, PeerCall, PeerGossip, PeerReply, WorkerNote};
+use vanillacleat_core::frames::{Envelope, HandedAnswer, HomeFence, HomeHandover, PeerCall, PeerGossip, PeerReply, WorkerNote};
 use vanillacleat_core::ids::{EntryId, HomeKey, TeamName};
-use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
+use vanillacleat_core::outcome::{CallRefusal, JobAnswer, RefusalCode};
 use vanillacleat_core::units::{MonoTime, Revision};
 
 use super::platform::{EntryPresence, HomeClaim, PendingOp, PlatformOp, PlatformReply, StoreVersion};
@@ -17,11 +17,13 @@
 use crate::{CallId, ReplyId};
 
 /// Time between two heartbeats to one peer.
-pub const GOSSIP_PERIOD: Duration = Duration::from_millis(1_500);
+pub const GOSSIP_PERIOD: Duration = Duration::from_secs(2);
 /// Time without a heartbeat from which a peer counts as lost and its home may be adopted.
-pub const PEER_SILENCE_MAX: Duration = Duration::from_secs(4);
+pub const PEER_SILENCE_MAX: Duration = Duration::from_secs(5);
 /// Time after an answered heartbeat in which the peer certainly has not adopted this entry's homes.
-const OWNERSHIP_LIFETIME: Duration = Duration::from_millis(3_500);
+const OWNERSHIP_LIFETIME: Duration = Duration::from_millis(4_500);
+/// Bytes of answers in one hand-over.
+const HANDED_BYTES_MAX: usize = 4_000_000;
 /// Heartbeats whose echo is awaited, for each peer.
 const SENT_KEPT: usize = 16;
 /// Longest time between two renewals of the own key after which other entries may have counted this one as gone.
@@ -241,6 +243,18 @@
     }
 }
 
+/// Drops the texts of the oldest answers beyond what one frame carries; that the jobs were answered is still handed over.
+fn bound_answers(mut answers: Vec<HandedAnswer>) -> Vec<HandedAnswer> {
+    let mut bytes = 0;
+    for handed in answers.iter_mut().rev() {
+        bytes += handed.answer.as_ref().map_or(0, JobAnswer::text_bytes);
+        if bytes > HANDED_BYTES_MAX {
+            handed.answer = None;
+        }
+    }
+    answers
+}
+
 /// How far a leaving entry is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub(super) enum DrainStep {
@@ -470,7 +484,7 @@
             return self.finish_drain();
         }
         let expired_below = self.mint.expired_below(self.now);
-        let answers = self.ledger.handed_answers(&fence.home);
+        let answers = bound_answers(self.ledger.handed_answers(&fence.home));
         let handover = HomeHandover { fence, next_serial: self.mint.next_serial(), expired_below, answers };
         self.ledger.fence(&handover.fence.home);
         let call = CallId(self.make_id());
--- a/crates/control/src/entry/placing.rs
+++ b/crates/control/src/entry/placing.rs
@@ -88,11 +88,18 @@
         self.fleet.set_outstanding(&worker.agent, self.ledger.sent_count(worker));
     }
 
-    pub(super) fn send_cancel(&mut self, worker: &WorkerKey, task: TaskAttempt) {
+    pub(super) fn note_cancel(&mut self, worker: &WorkerKey, task: TaskAttempt) {
         let generation = self.ledger.generation(&task.key.home);
         if let (Some(session), Some(generation)) = (self.fleet.session_of(worker), generation) {
+            self.cancels.entry((session, generation)).or_default().push(task);
+        }
+    }
+
+    /// Sends the cancels of this event, in one frame for each agent.
+    pub(super) fn send_cancels(&mut self) {
+        for ((session, generation), tasks) in std::mem::take(&mut self.cancels) {
             self.counters.cancelled += 1;
-            self.send(session, EntryFrame::Cancel(TaskRecall { generation, tasks: vec![task] }));
+            self.send(session, EntryFrame::Cancel(TaskRecall { generation, tasks }));
         }
     }
 }
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 pub struct FleetView {
     agents: BTreeMap<AgentId, AgentView>,
+    by_session: BTreeMap<SessionId, AgentId>,
     gone: Vec<WorkerNote>,
     version: u64,
 }
@@ -42,6 +43,7 @@
         let agent = &hello.worker.agent;
         let earlier = self.agents.get_mut(agent);
         self.version += 1;
+        self.by_session.insert(session, agent.clone());
         if let Some(view) = earlier.filter(|view| view.worker == hello.worker) {
             view.note_back(now, session, hello);
             // The others must hear that the run is used again before it is.
@@ -60,7 +62,8 @@
 
     /// Notes that `session` broke, while no job from serial `unused_from` on has been accepted; returns the agent run it belonged to.
     pub fn note_lost(&mut self, now: MonoTime, session: SessionId, unused_from: u64) -> Option<WorkerKey> {
-        let view = self.agents.values_mut().find(|view| view.session == Some(session))?;
+        let agent = self.by_session.remove(&session)?;
+        let view = self.agents.get_mut(&agent).filter(|view| view.session == Some(session))?;
         view.note_lost(now, unused_from);
         self.version += 1;
         Some(view.worker.clone())
@@ -113,7 +116,8 @@
 
     /// Returns the agent run on `session`.
     pub fn worker_on(&self, session: SessionId) -> Option<&AgentView> {
-        self.agents.values().find(|view| view.session == Some(session))
+        let agent = self.by_session.get(&session)?;
+        self.agents.get(agent).filter(|view| view.session == Some(session))
     }
 
     /// Returns the session of an agent run.
--- a/crates/control/src/fleet/placement.rs
+++ b/crates/control/src/fleet/placement.rs
@@ -64,6 +64,7 @@
 fn is_candidate(now: MonoTime, rule: &PlacementRule, request: &PlacementRequest<'_>, breakers: &BreakerBoard, view: &AgentView) -> bool {
     let slots = view.slots(request.service);
     let room = match rule.policy {
+        PlacementPolicy::LateBinding if view.outstanding < slots / entries_of(rule) => slots + entries_of(rule).max(rule.overcommit),
         PlacementPolicy::LateBinding => slots + rule.overcommit,
         _ => slots + EARLY_BINDING_QUEUE,
     };
@@ -80,6 +81,12 @@
         && breakers.allows(now, request.service, &view.worker.agent)
 }
 
+/// Returns how many entries share the workers. An entry below its even share of a worker's slots may queue there even
+/// when the others fill them, since it hears of a freed slot later than the entry whose task has ended.
+fn entries_of(rule: &PlacementRule) -> u32 {
+    rule.rank.1.max(1) as u32
+}
+
 /// Returns the order of preference: the lower utilization step, the own zone, then a rotation that differs by entry,
 /// so that entries that don't see each other's dispatches don't all choose the same worker.
 fn score(rule: &PlacementRule, service: &ServiceName, index: usize, view: &AgentView) -> (u32, bool, u32, usize) {
--- a/crates/control/tests/support/trace.rs
+++ b/crates/control/tests/support/trace.rs
@@ -68,6 +68,7 @@
         CallerReply::Changed(outcome) => format!("changed revision={} in_force={}", outcome.revision, outcome.in_force),
         CallerReply::Tickets(tickets) => format!("tickets count={}", tickets.len()),
         CallerReply::Config(value) => format!("config revision={}", value.revision),
+        CallerReply::Health(is_ready) => format!("health ready={is_ready}"),
         CallerReply::Dump(_) => "dump".to_owned(),
     }
 }
--- a/crates/entry/src/http_api.rs
+++ b/crates/entry/src/http_api.rs
@@ -104,8 +104,8 @@
 
 #[get("/v1/health")]
 async fn health(events: &Events) -> (Status, &'static str) {
-    match ask(events, CallerCall::Dump).await {
-        Ok(CallerReply::Dump(state)) if state["draining"] == false => (Status::Ok, "ready\n"),
+    match ask(events, CallerCall::Health).await {
+        Ok(CallerReply::Health(true)) => (Status::Ok, "ready\n"),
         _ => (Status::ServiceUnavailable, "not ready\n"),
     }
 }
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -26,12 +26,14 @@
     /// Sends a frame; returns once the transport has taken all of it, or fails if the stream has ended.
     pub async fn send(&mut self, frame: &T) -> Result<(), WireError> {
         let bytes = encode_frame(frame)?;
+        count_frame(bytes.len());
         self.send_bytes(bytes, false).await
     }
 
     /// Sends the last frame of the stream.
     pub async fn send_last(&mut self, frame: &T) -> Result<(), WireError> {
         let bytes = encode_frame(frame)?;
+        count_frame(bytes.len());
         self.send_bytes(bytes, true).await
     }
 
@@ -48,6 +50,11 @@
     }
 }
 
+fn count_frame(bytes: usize) {
+    metrics::counter!("wire_frames_sent_total").increment(1);
+    metrics::counter!("wire_bytes_sent_total").increment(bytes as u64);
+}
+
 /// A `FrameReceiver` reads frames from one stream.
 #[derive(Debug)]
 pub struct FrameReceiver<T> {
