Let idle sessions rest: a session without tasks asks every five seconds

Cause: each entry prefers its own zone, so the sessions across zones carry little; they asked every 2 s.

--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -28,12 +28,14 @@
 
 /// Time without a question from which a session is asked by a frame of its own.
 pub const ASK_PERIOD: Duration = Duration::from_secs(2);
+/// The same for a session whose entry has no tasks here.
+const IDLE_ASK_PERIOD: Duration = Duration::from_secs(5);
 /// Age of the best proof from which it is renewed out of turn.
 const PROOF_AGE_MAX: Duration = Duration::from_millis(2_300);
 /// Shortest time between questions out of turn on one session.
 const HURRIED_ASK_PERIOD: Duration = Duration::from_millis(250);
 /// Time without a frame from which a session counts as broken.
-const SESSION_SILENCE_MAX: Duration = Duration::from_secs(6);
+const SESSION_SILENCE_MAX: Duration = Duration::from_secs(12);
 /// Time between two events from which this process counts as having been stalled.
 const STALL_MIN: Duration = Duration::from_millis(500);
 
@@ -395,7 +397,11 @@
     /// Asks on sessions that have carried nothing for a while, and on one more while the best proof grows old.
     fn ask(&mut self) {
         let now = self.now;
-        let quiet = self.sessions.iter().filter(|(_, view)| view.is_ask_due(now, ASK_PERIOD)).map(|(session, _)| *session);
+        let is_quiet = |session: &SessionId, view: &SessionView| {
+            let period = if self.mine_of(*session) > 0 { ASK_PERIOD } else { IDLE_ASK_PERIOD };
+            view.is_ask_due(now, period)
+        };
+        let quiet = self.sessions.iter().filter(|(session, view)| is_quiet(session, view)).map(|(session, _)| *session);
         let mut due: Vec<SessionId> = quiet.collect();
         let is_ageing = self.gate.freshness().age(now).is_none_or(|age| age > PROOF_AGE_MAX);
         if is_ageing && due.is_empty() {
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -16,8 +16,10 @@
 use crate::fleet::HelloMeaning;
 use crate::SessionId;
 
-/// Time without a frame from which a session counts as broken.
+/// Time without a frame from which a session with unreported tasks counts as broken.
 const SESSION_SILENCE_MAX: Duration = Duration::from_secs(5);
+/// The same for a session without any.
+const IDLE_SILENCE_MAX: Duration = Duration::from_secs(12);
 /// Questions of ours that may be unanswered on one session.
 const NONCES_KEPT: usize = 64;
 
@@ -100,7 +102,7 @@
 
     /// Ends sessions whose agents have been silent: a host may be gone without a word.
     pub(super) fn close_silent_sessions(&mut self) {
-        for session in self.fleet.silent_sessions(self.now, self.awake_at, SESSION_SILENCE_MAX) {
+        for session in self.fleet.silent_sessions(self.now, self.awake_at, SESSION_SILENCE_MAX, IDLE_SILENCE_MAX) {
             self.actions.push(EntryAction::Close { session });
             self.lose_session(session);
         }
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -87,9 +87,13 @@
         }
     }
 
-    /// Returns the sessions that have been silent for `age`, counted from `awake_at` at the earliest.
-    pub fn silent_sessions(&self, now: MonoTime, awake_at: MonoTime, age: Duration) -> Vec<SessionId> {
-        let is_silent = |view: &&AgentView| now.since(view.heard_at.max(awake_at)) >= age;
+    /// Returns the sessions that have been silent for `busy_age` with unreported tasks, or for `idle_age` without any,
+    /// counted from `awake_at` at the earliest.
+    pub fn silent_sessions(&self, now: MonoTime, awake_at: MonoTime, busy_age: Duration, idle_age: Duration) -> Vec<SessionId> {
+        let is_silent = |view: &&AgentView| {
+            let age = if view.outstanding > 0 { busy_age } else { idle_age };
+            now.since(view.heard_at.max(awake_at)) >= age
+        };
         self.agents.values().filter(is_silent).filter_map(|view| view.session).collect()
     }
 
