Split the large files; one process handle and outlet for both daemons

Cause: four files had grown over 500 lines and both daemons carried the same start, drain and end. Change: the ledger's readings and decisions, the peers' book, the draining and the test world stand in files of their own; ProcessHandle and EventOutlet moved to vanillacleat-daemon. No behaviour changed; golden files are the same.

--- a/crates/agent/src/control_loop.rs
+++ b/crates/agent/src/control_loop.rs
@@ -1,7 +1,7 @@
 //! Carries out the control state's actions.
 
 use std::collections::HashMap;
-use std::sync::{Arc, OnceLock};
+
 use std::time::Duration;
 
 use tokio::runtime::Handle;
@@ -10,7 +10,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::AgentId;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::{ControlStep, EventSender};
+use vanillacleat_daemon::{ControlStep, EventOutlet};
 
 use crate::sessions::{dial_entry, SessionWriter};
 use crate::upstream_calls::UpstreamCaller;
@@ -33,29 +33,14 @@
     Stop,
 }
 
-/// An `EventOutlet` is where traffic tasks hand their events, once the control thread runs.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct EventOutlet {
-    sender: Arc<OnceLock<EventSender<AgentInput>>>,
-}
-
-impl EventOutlet {
-    pub(crate) fn set(&self, sender: EventSender<AgentInput>) {
-        let _ = self.sender.set(sender);
-    }
-
-    pub(crate) fn send(&self, input: AgentInput) {
-        if let Some(sender) = self.sender.get() {
-            sender.send(input);
-        }
-    }
-}
+/// Where traffic tasks hand their events.
+pub(crate) type Outlet = EventOutlet<AgentInput>;
 
 /// A `ControlLoop` owns the control state and everything that its actions need.
 pub(crate) struct ControlLoop {
     control: AgentControl,
     name: AgentId,
-    outlet: EventOutlet,
+    outlet: Outlet,
     traffic: Handle,
     upstreams: UpstreamCaller,
     writers: HashMap<SessionId, SessionWriter>,
@@ -64,12 +49,12 @@
 
 impl ControlLoop {
     pub(crate) fn new(control: AgentControl, name: AgentId, connections: u32, traffic: Handle) -> Self {
-        let outlet = EventOutlet::default();
+        let outlet = Outlet::default();
         let upstreams = UpstreamCaller::new(outlet.clone(), connections as usize);
         Self { control, name, outlet, traffic, upstreams, writers: HashMap::new(), next_session: 0 }
     }
 
-    pub(crate) fn event_outlet(&self) -> EventOutlet {
+    pub(crate) fn event_outlet(&self) -> Outlet {
         self.outlet.clone()
     }
 
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,7 +1,6 @@
 //! Start and end of an agent.
 
 use std::net::SocketAddr;
-use std::thread::JoinHandle;
 
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
@@ -9,7 +8,7 @@
 use vanillacleat_core::ids::{Incarnation, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::settings::AgentSettings;
-use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, EventSender, ProcessRuntime, ThreadPause};
+use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, ProcessHandle, ProcessRuntime, ThreadPause};
 
 use crate::control_loop::{AgentInput, ControlLoop};
 use crate::http_api;
@@ -22,10 +21,7 @@
 pub struct AgentDaemon {
     /// Where upstreams announce themselves and state is read.
     pub http_address: SocketAddr,
-    events: EventSender<AgentInput>,
-    pause: ThreadPause,
-    control: Option<JoinHandle<()>>,
-    runtime: ProcessRuntime,
+    process: ProcessHandle<AgentInput>,
 }
 
 impl AgentDaemon {
@@ -43,37 +39,23 @@
         outlet.set(events.clone());
         runtime.block_on(http_api::start_server(settings.http_listen, events.clone())).change_context(DaemonError::Start)?;
         log::info!("event=agent_started agent={} zone={} http={}", settings.id, settings.zone, settings.http_listen);
-        Ok(Self { http_address: settings.http_listen, events, pause, control: Some(thread), runtime })
+        let process = ProcessHandle::new(events, || AgentInput::Stop, pause, thread, runtime);
+        Ok(Self { http_address: settings.http_listen, process })
     }
 
     /// Returns the hold on the control thread, for experiments.
     pub fn pause(&self) -> ThreadPause {
-        self.pause.clone()
+        self.process.pause()
     }
 
     /// Asks the agent to leave and waits until it has: queued tasks go back to their homes, running ones end.
-    pub fn drain(mut self) {
-        self.events.send(AgentInput::Event(AgentEvent::Drain));
-        if let Some(thread) = self.control.take() {
-            let _ = thread.join();
-        }
+    pub fn drain(self) {
+        self.process.drain(AgentInput::Event(AgentEvent::Drain));
     }
 
     /// Waits until the process is asked to leave, then drains.
     pub fn run(self) -> Result<(), Report<DaemonError>> {
-        self.runtime.block_on(vanillacleat_daemon::wait_for_stop()).change_context(DaemonError::Start)?;
-        self.drain();
-        Ok(())
-    }
-}
-
-impl Drop for AgentDaemon {
-    fn drop(&mut self) {
-        self.pause.set(false);
-        self.events.send(AgentInput::Stop);
-        if let Some(thread) = self.control.take() {
-            let _ = thread.join();
-        }
+        self.process.run(AgentInput::Event(AgentEvent::Drain))
     }
 }
 
--- a/crates/agent/src/sessions.rs
+++ b/crates/agent/src/sessions.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::frames::{AgentFrame, EntryFrame, Envelope};
 use vanillacleat_wire::{FrameReceiver, FrameSender, WireConnection, WireError};
 
-use crate::control_loop::{AgentInput, EventOutlet};
+use crate::control_loop::{AgentInput, Outlet};
 
 /// Frames that may wait to be sent on one session; a session that falls further behind is ended.
 const UNSENT_FRAMES_MAX: usize = 4_096;
@@ -31,7 +31,7 @@
 }
 
 /// Opens a session with the entry at `address` and carries it until it ends.
-pub(crate) async fn dial_entry(session: SessionId, address: SmolStr, outlet: EventOutlet) {
+pub(crate) async fn dial_entry(session: SessionId, address: SmolStr, outlet: Outlet) {
     let opened = open_session(&address).await;
     let Ok((connection, sender, receiver)) = opened else {
         return outlet.send(AgentInput::Event(AgentEvent::SessionGone { session: None, address }));
@@ -64,7 +64,7 @@
     }
 }
 
-async fn read_frames(session: SessionId, mut receiver: FrameReceiver<ReceivedFrame>, outlet: EventOutlet) {
+async fn read_frames(session: SessionId, mut receiver: FrameReceiver<ReceivedFrame>, outlet: Outlet) {
     loop {
         match receiver.receive().await {
             Ok(frame) => outlet.send(AgentInput::Event(AgentEvent::Frame { session, frame })),
--- a/crates/control/src/entry/mod.rs
+++ b/crates/control/src/entry/mod.rs
@@ -3,8 +3,10 @@
 mod adoption;
 mod calls;
 mod changes;
+mod draining;
 mod dump;
 mod events;
+mod peer_book;
 mod peers;
 mod placing;
 mod platform;
@@ -42,8 +44,8 @@
 use changes::ChangeFlow;
 pub use changes::CONFIRM_WAIT;
 pub use events::{CallerCall, CallerReply, EntryAction, EntryEvent, EntryOptions};
-use peers::PeerBook;
-pub use peers::{GOSSIP_PERIOD, PEER_SILENCE_MAX};
+use peer_book::PeerBook;
+pub use peer_book::{GOSSIP_PERIOD, PEER_SILENCE_MAX};
 pub use platform::{EntryPresence, HomeClaim, NameBinding, PlatformOp, PlatformReply, StoreVersion};
 use platform::{PendingOp, PlatformPacer};
 use requests::RequestFlow;
@@ -97,7 +99,7 @@
     counters: EntryCounters,
     next_id: u64,
     is_draining: bool,
-    drain_step: peers::DrainStep,
+    drain_step: draining::DrainStep,
     actions: Vec<EntryAction>,
 }
 
@@ -182,7 +184,7 @@
             counters: EntryCounters::default(),
             next_id: 0,
             is_draining: false,
-            drain_step: peers::DrainStep::Working,
+            drain_step: draining::DrainStep::Working,
             actions: Vec::new(),
         }
     }
--- a/crates/control/src/ledger/mod.rs
+++ b/crates/control/src/ledger/mod.rs
@@ -1,7 +1,9 @@
 //! The home's ledger: every job submitted under its tickets, from acceptance to the kept answer.
 
+mod deciding;
 mod home_record;
 mod job_record;
+mod readings;
 mod ready_queue;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -10,7 +12,7 @@
 
 use serde::Serialize;
 use vanillacleat_core::frames::{FenceInventory, HandedAnswer, TaskAttempt, TaskResult, TaskStatus};
-use vanillacleat_core::ids::{HomeKey, ServiceName, TaskKey, TeamName, WorkerKey};
+use vanillacleat_core::ids::{HomeKey, TaskKey, TeamName, WorkerKey};
 use vanillacleat_core::job::{BodyDigest, JobSpec};
 use vanillacleat_core::outcome::{CallRefusal, JobAnswer, NotRunReason, RefusalCode, TaskOutcome, UnknownReason};
 use vanillacleat_core::units::{Generation, MonoTime};
@@ -129,21 +131,6 @@
         self.homes.insert(home, record);
     }
 
-    /// Returns the generation under which `home` is owned, or nothing if it is not owned or is fenced.
-    pub fn generation(&self, home: &HomeKey) -> Option<Generation> {
-        self.homes.get(home).filter(|record| !record.is_fenced).map(|record| record.generation)
-    }
-
-    /// Returns the serial from which no job of `home` has been accepted.
-    pub fn unused_from(&self, home: &HomeKey) -> u64 {
-        self.homes.get(home).map_or(0, |record| record.unused_from)
-    }
-
-    /// Returns the homes owned and not fenced, with their generations.
-    pub fn owned_homes(&self) -> impl Iterator<Item = (&HomeKey, Generation)> {
-        self.homes.iter().filter(|(_, record)| !record.is_fenced).map(|(home, record)| (home, record.generation))
-    }
-
     /// Returns what is known of the job at `place`, and attaches `waiter` if it is running.
     pub fn find(&mut self, place: &JobPlace, digest: Option<BodyDigest>, waiter: Option<ReplyId>) -> LedgerFinding {
         let Some(home) = self.homes.get_mut(&place.home) else {
@@ -208,26 +195,6 @@
         Vec::new()
     }
 
-    /// Returns the lanes that have waiting tasks, the team with the fewest tasks in flight first.
-    pub fn lanes(&self) -> Vec<LaneKey> {
-        let mut lanes: Vec<(u32, u64, &LaneKey)> =
-            self.queue.lanes().map(|(lane, rank)| (self.team_in_flight(&lane.team), rank, lane)).collect();
-        lanes.sort_unstable();
-        lanes.into_iter().map(|(_, _, lane)| lane.clone()).collect()
-    }
-
-    /// Returns the first `count` waiting tasks of a lane.
-    pub fn lane_heads(&self, lane: &LaneKey, count: usize) -> Vec<TaskKey> {
-        self.queue.heads(lane, count)
-    }
-
-    /// Returns the job and the deadline of a task that waits.
-    pub fn waiting_task(&self, key: &TaskKey) -> Option<(&Arc<JobSpec>, MonoTime)> {
-        let record = self.open_record(&key.home, key.serial)?;
-        let is_waiting = matches!(record.slots[usize::from(key.task)], SlotState::Waiting { .. });
-        is_waiting.then_some((&record.spec, record.deadline))
-    }
-
     /// Notes that a waiting task is sent to `worker`; returns the attempt's number.
     pub fn mark_sent(&mut self, key: &TaskKey, worker: &WorkerKey) -> Option<u32> {
         let record = open_record_mut(&mut self.homes, &key.home, key.serial)?;
@@ -243,27 +210,6 @@
         Some(attempt)
     }
 
-    /// Returns the tasks sent to `worker` and not yet reported.
-    pub fn sent_to(&self, worker: &WorkerKey) -> Vec<TaskAttempt> {
-        let sent = self.sent.get(worker).into_iter().flatten();
-        sent.map(|(key, attempt)| TaskAttempt { key: key.clone(), attempt: *attempt }).collect()
-    }
-
-    /// Returns how many tasks are sent to `worker` and not yet reported.
-    pub fn sent_count(&self, worker: &WorkerKey) -> usize {
-        self.sent.get(worker).map_or(0, BTreeMap::len)
-    }
-
-    /// Returns the agent runs that hold unreported tasks.
-    pub fn busy_workers(&self) -> Vec<WorkerKey> {
-        self.sent.keys().cloned().collect()
-    }
-
-    /// Returns the service of an open job's task.
-    pub fn service_of(&self, key: &TaskKey) -> Option<ServiceName> {
-        self.open_record(&key.home, key.serial).map(|record| record.spec.service.clone())
-    }
-
     /// Takes a worker's word on a task. A word on a task that is not at this worker is ignored.
     pub fn report(&mut self, now: MonoTime, worker: &WorkerKey, result: TaskResult) -> Vec<LedgerEffect> {
         let key = result.key;
@@ -309,29 +255,6 @@
         tasks.into_iter().flat_map(|task| self.report(now, worker, lost(task))).collect()
     }
 
-    /// Cancels a job; tasks that have started are not stopped.
-    pub fn cancel(&mut self, now: MonoTime, place: &JobPlace) -> Vec<LedgerEffect> {
-        self.close(now, place, NotRunReason::Cancelled)
-    }
-
-    /// Decides a job that cannot be on time any more.
-    pub fn give_up(&mut self, now: MonoTime, place: &JobPlace) -> Vec<LedgerEffect> {
-        self.close(now, place, NotRunReason::Deadline)
-    }
-
-    /// Decides the jobs whose deadline or closing time has come.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<LedgerEffect> {
-        let mut effects = Vec::new();
-        while let Some((at, place)) = self.due.first().cloned() {
-            if at > now {
-                break;
-            }
-            self.due.remove(&(at, place.clone()));
-            effects.extend(self.expire_job(now, &place));
-        }
-        effects
-    }
-
     /// Forgets answered jobs of `home` below `serial`; their tickets are refused as expired from now on.
     pub fn purge(&mut self, home: &HomeKey, expired_below: u64) {
         if let Some(record) = self.homes.get_mut(home) {
@@ -348,26 +271,6 @@
         }
     }
 
-    /// Notes that another entry owns `home`. Returns who waited for its open jobs.
-    pub fn fence(&mut self, home: &HomeKey) -> Vec<ReplyId> {
-        let Some(record) = self.homes.get_mut(home) else {
-            return Vec::new();
-        };
-        record.is_fenced = true;
-        let open: Vec<u64> = record.unanswered_serials();
-        let mut waiters = Vec::new();
-        for serial in open {
-            waiters.extend(self.drop_open(&JobPlace { home: home.clone(), serial }));
-        }
-        waiters
-    }
-
-    /// Forgets a home whose tickets have all expired.
-    pub fn disown(&mut self, home: &HomeKey) {
-        self.fence(home);
-        self.homes.remove(home);
-    }
-
     /// Returns the answers kept for `home`, for a hand-over.
     pub fn handed_answers(&self, home: &HomeKey) -> Vec<HandedAnswer> {
         self.homes.get(home).map(HomeRecord::handed_answers).unwrap_or_default()
@@ -388,33 +291,6 @@
         self.evict();
     }
 
-    /// Returns how many jobs are open.
-    pub fn open_jobs(&self) -> usize {
-        self.open_jobs
-    }
-
-    /// Returns how many tasks wait to be sent.
-    pub fn waiting_tasks(&self) -> usize {
-        self.queue.len()
-    }
-
-    /// Returns how many tasks of `service` wait to be sent.
-    pub fn waiting_for(&self, service: &ServiceName) -> usize {
-        self.queue.len_of(service)
-    }
-
-    /// Returns how many tasks of `team` wait to be sent.
-    pub fn waiting_of(&self, team: &TeamName) -> u32 {
-        let lanes = self.queue.lanes().filter(|(lane, _)| lane.team == *team);
-        lanes.map(|(lane, _)| self.queue.lane_len(lane)).sum()
-    }
-
-    /// Returns whether some agent started tasks of an adopted and not yet submitted job.
-    pub fn is_inventoried(&self, place: &JobPlace) -> bool {
-        let inventory = self.homes.get(&place.home).and_then(|home| home.inventory.as_ref());
-        inventory.is_some_and(|inventory| inventory.started.contains_key(&place.serial))
-    }
-
     /// Adds what an agent told of an adopted home after the others.
     pub fn merge_inventory(&mut self, worker: &WorkerKey, told: FenceInventory) {
         let inventory = self.homes.get_mut(&told.home).and_then(|home| home.inventory.as_mut());
@@ -423,28 +299,6 @@
         }
     }
 
-    /// Returns how many tasks of `team` are sent and not yet reported.
-    pub fn team_in_flight(&self, team: &TeamName) -> u32 {
-        self.in_flight.get(team).copied().unwrap_or(0)
-    }
-
-    /// Returns how many tasks each team has waiting or in flight.
-    pub fn demand(&self) -> Vec<(TeamName, u32)> {
-        let mut demand = self.in_flight.clone();
-        self.queue.lanes().for_each(|(lane, _)| *demand.entry(lane.team.clone()).or_default() += self.queue.lane_len(lane));
-        demand.into_iter().filter(|(_, count)| *count > 0).collect()
-    }
-
-    /// Returns the bytes of kept answers.
-    pub fn kept_bytes(&self) -> usize {
-        self.kept_bytes
-    }
-
-    /// Returns how many jobs, open and answered, are remembered.
-    pub fn remembered_jobs(&self) -> usize {
-        self.homes.values().map(|home| home.jobs.len()).sum()
-    }
-
     fn open_record(&self, home: &HomeKey, serial: u64) -> Option<&JobRecord> {
         match &self.homes.get(home)?.jobs.get(&serial)?.state {
             JobState::Open(record) => Some(record),
@@ -472,121 +326,6 @@
         }
     }
 
-    fn end_task(&mut self, now: MonoTime, place: &JobPlace, outcome: EndedTask) -> Vec<LedgerEffect> {
-        let is_last = self.open_record(&place.home, place.serial).is_some_and(|record| record.left == 0);
-        if is_last {
-            return vec![self.decide(place)];
-        }
-        match outcome {
-            EndedTask::Done | EndedTask::Closing => Vec::new(),
-            EndedTask::Decides(reason) => self.close(now, place, reason),
-        }
-    }
-
-    fn close(&mut self, now: MonoTime, place: &JobPlace, reason: NotRunReason) -> Vec<LedgerEffect> {
-        let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) else {
-            return Vec::new();
-        };
-        if record.closing.is_some() {
-            return Vec::new();
-        }
-        for (task, slot) in record.slots.iter().enumerate() {
-            if matches!(slot, SlotState::Waiting { .. }) {
-                self.queue.remove(record, &make_key(place, task));
-            }
-        }
-        record.close(reason);
-        if record.left == 0 {
-            return vec![self.decide(place)];
-        }
-        let sent = record.sent_slots();
-        let cancels =
-            sent.map(|(task, worker, attempt)| LedgerEffect::Cancel { worker, task: TaskAttempt { key: make_key(place, task), attempt } });
-        let cancels = cancels.collect();
-        self.due.insert((now + CLOSING_GRACE, place.clone()));
-        cancels
-    }
-
-    fn expire_job(&mut self, now: MonoTime, place: &JobPlace) -> Vec<LedgerEffect> {
-        let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) else {
-            return Vec::new();
-        };
-        if record.closing.is_none() {
-            return self.close(now, place, NotRunReason::Deadline);
-        }
-        let late: Vec<(usize, WorkerKey, u32)> = record.sent_slots().collect();
-        for (task, worker, _) in late {
-            self.unmark_sent(&worker, &make_key(place, task));
-        }
-        if let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) {
-            record.end_unreported();
-        }
-        vec![self.decide(place)]
-    }
-
-    fn decide(&mut self, place: &JobPlace) -> LedgerEffect {
-        let home = self.homes.get_mut(&place.home).expect("an open job has a home");
-        let (waiters, answer, needs_seal) = home.decide(place.serial);
-        if needs_seal {
-            return LedgerEffect::Seal { place: place.clone() };
-        }
-        self.note_answered(place, waiters, answer)
-    }
-
-    fn note_answered(&mut self, place: &JobPlace, waiters: Vec<ReplyId>, answer: Arc<JobAnswer>) -> LedgerEffect {
-        self.open_jobs -= 1;
-        self.keep(place, Some(&answer));
-        self.evict();
-        LedgerEffect::Answer { place: place.clone(), waiters, answer }
-    }
-
-    /// Gives the answer of a failed job that an agent remembers as decided.
-    pub fn release(&mut self, place: &JobPlace) -> Option<LedgerEffect> {
-        let (waiters, answer) = self.homes.get_mut(&place.home)?.release(place.serial)?;
-        Some(self.note_answered(place, waiters, answer))
-    }
-
-    /// Returns and forgets who waits for a failed job that no agent remembers as decided yet.
-    pub fn dismiss_waiters(&mut self, place: &JobPlace) -> Vec<ReplyId> {
-        let job = self.homes.get_mut(&place.home).and_then(|home| home.jobs.get_mut(&place.serial));
-        match job.map(|job| &mut job.state) {
-            Some(JobState::Sealing { waiters, .. }) => std::mem::take(waiters),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Returns why an adopted home's unsubmitted job can't be served.
-    pub fn find_loss(&self, place: &JobPlace) -> Option<CallRefusal> {
-        self.homes.get(&place.home)?.find_loss(place.serial)
-    }
-
-    fn drop_open(&mut self, place: &JobPlace) -> Vec<ReplyId> {
-        let mut waiters = self.dismiss_waiters(place);
-        let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) else {
-            self.remove_unanswered(place);
-            return waiters;
-        };
-        waiters.append(&mut record.waiters);
-        for (task, slot) in record.slots.iter().enumerate() {
-            if matches!(slot, SlotState::Waiting { .. }) {
-                self.queue.remove(record, &make_key(place, task));
-            }
-        }
-        let sent: Vec<(usize, WorkerKey, u32)> = record.sent_slots().collect();
-        for (task, worker, _) in sent {
-            self.unmark_sent(&worker, &make_key(place, task));
-        }
-        self.remove_unanswered(place);
-        waiters
-    }
-
-    fn remove_unanswered(&mut self, place: &JobPlace) {
-        if let Some(home) = self.homes.get_mut(&place.home) {
-            home.jobs.remove(&place.serial);
-            self.open_jobs -= 1;
-        }
-    }
-
     fn keep(&mut self, place: &JobPlace, answer: Option<&Arc<JobAnswer>>) {
         if let Some(answer) = answer {
             self.kept_bytes += answer.text_bytes();
--- /dev/null
+++ b/crates/control/src/ledger/readings.rs
@@ -0,0 +1,125 @@
+//! What can be read of the ledger.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use vanillacleat_core::frames::TaskAttempt;
+use vanillacleat_core::ids::{HomeKey, ServiceName, TaskKey, TeamName, WorkerKey};
+use vanillacleat_core::job::JobSpec;
+use vanillacleat_core::outcome::CallRefusal;
+use vanillacleat_core::units::{Generation, MonoTime};
+
+use super::job_record::SlotState;
+use super::{JobLedger, JobPlace, LaneKey};
+
+impl JobLedger {
+    /// Returns the generation under which `home` is owned, or nothing if it is not owned or is fenced.
+    pub fn generation(&self, home: &HomeKey) -> Option<Generation> {
+        self.homes.get(home).filter(|record| !record.is_fenced).map(|record| record.generation)
+    }
+
+    /// Returns the serial from which no job of `home` has been accepted.
+    pub fn unused_from(&self, home: &HomeKey) -> u64 {
+        self.homes.get(home).map_or(0, |record| record.unused_from)
+    }
+
+    /// Returns the homes owned and not fenced, with their generations.
+    pub fn owned_homes(&self) -> impl Iterator<Item = (&HomeKey, Generation)> {
+        self.homes.iter().filter(|(_, record)| !record.is_fenced).map(|(home, record)| (home, record.generation))
+    }
+
+    /// Returns the lanes that have waiting tasks, the team with the fewest tasks in flight first.
+    pub fn lanes(&self) -> Vec<LaneKey> {
+        let mut lanes: Vec<(u32, u64, &LaneKey)> =
+            self.queue.lanes().map(|(lane, rank)| (self.team_in_flight(&lane.team), rank, lane)).collect();
+        lanes.sort_unstable();
+        lanes.into_iter().map(|(_, _, lane)| lane.clone()).collect()
+    }
+
+    /// Returns the first `count` waiting tasks of a lane.
+    pub fn lane_heads(&self, lane: &LaneKey, count: usize) -> Vec<TaskKey> {
+        self.queue.heads(lane, count)
+    }
+
+    /// Returns the job and the deadline of a task that waits.
+    pub fn waiting_task(&self, key: &TaskKey) -> Option<(&Arc<JobSpec>, MonoTime)> {
+        let record = self.open_record(&key.home, key.serial)?;
+        let is_waiting = matches!(record.slots[usize::from(key.task)], SlotState::Waiting { .. });
+        is_waiting.then_some((&record.spec, record.deadline))
+    }
+
+    /// Returns the tasks sent to `worker` and not yet reported.
+    pub fn sent_to(&self, worker: &WorkerKey) -> Vec<TaskAttempt> {
+        let sent = self.sent.get(worker).into_iter().flatten();
+        sent.map(|(key, attempt)| TaskAttempt { key: key.clone(), attempt: *attempt }).collect()
+    }
+
+    /// Returns how many tasks are sent to `worker` and not yet reported.
+    pub fn sent_count(&self, worker: &WorkerKey) -> usize {
+        self.sent.get(worker).map_or(0, BTreeMap::len)
+    }
+
+    /// Returns the agent runs that hold unreported tasks.
+    pub fn busy_workers(&self) -> Vec<WorkerKey> {
+        self.sent.keys().cloned().collect()
+    }
+
+    /// Returns the service of an open job's task.
+    pub fn service_of(&self, key: &TaskKey) -> Option<ServiceName> {
+        self.open_record(&key.home, key.serial).map(|record| record.spec.service.clone())
+    }
+
+    /// Returns how many jobs are open.
+    pub fn open_jobs(&self) -> usize {
+        self.open_jobs
+    }
+
+    /// Returns how many tasks wait to be sent.
+    pub fn waiting_tasks(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many tasks of `service` wait to be sent.
+    pub fn waiting_for(&self, service: &ServiceName) -> usize {
+        self.queue.len_of(service)
+    }
+
+    /// Returns how many tasks of `team` wait to be sent.
+    pub fn waiting_of(&self, team: &TeamName) -> u32 {
+        let lanes = self.queue.lanes().filter(|(lane, _)| lane.team == *team);
+        lanes.map(|(lane, _)| self.queue.lane_len(lane)).sum()
+    }
+
+    /// Returns whether some agent started tasks of an adopted and not yet submitted job.
+    pub fn is_inventoried(&self, place: &JobPlace) -> bool {
+        let inventory = self.homes.get(&place.home).and_then(|home| home.inventory.as_ref());
+        inventory.is_some_and(|inventory| inventory.started.contains_key(&place.serial))
+    }
+
+    /// Returns how many tasks of `team` are sent and not yet reported.
+    pub fn team_in_flight(&self, team: &TeamName) -> u32 {
+        self.in_flight.get(team).copied().unwrap_or(0)
+    }
+
+    /// Returns how many tasks each team has waiting or in flight.
+    pub fn demand(&self) -> Vec<(TeamName, u32)> {
+        let mut demand = self.in_flight.clone();
+        self.queue.lanes().for_each(|(lane, _)| *demand.entry(lane.team.clone()).or_default() += self.queue.lane_len(lane));
+        demand.into_iter().filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Returns the bytes of kept answers.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Returns how many jobs, open and answered, are remembered.
+    pub fn remembered_jobs(&self) -> usize {
+        self.homes.values().map(|home| home.jobs.len()).sum()
+    }
+
+    /// Returns why an adopted home's unsubmitted job can't be served.
+    pub fn find_loss(&self, place: &JobPlace) -> Option<CallRefusal> {
+        self.homes.get(&place.home)?.find_loss(place.serial)
+    }
+}
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -1,7 +1,7 @@
 //! Carries out the control state's actions.
 
 use std::collections::HashMap;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::runtime::Handle;
@@ -11,7 +11,7 @@
 use vanillacleat_core::frames::{AgentFrame, EntryFrame, Envelope, PeerCall, PeerReply};
 use vanillacleat_core::ids::EntryId;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::{ControlStep, EventSender};
+use vanillacleat_daemon::{ControlStep, EventOutlet};
 use vanillacleat_platform::PlatformClient;
 
 use crate::peer_calls::PeerCaller;
@@ -43,23 +43,8 @@
     Stop,
 }
 
-/// An `EventOutlet` is where traffic tasks hand their events, once the control thread runs.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct EventOutlet {
-    sender: Arc<OnceLock<EventSender<EntryInput>>>,
-}
-
-impl EventOutlet {
-    pub(crate) fn set(&self, sender: EventSender<EntryInput>) {
-        let _ = self.sender.set(sender);
-    }
-
-    pub(crate) fn send(&self, input: EntryInput) {
-        if let Some(sender) = self.sender.get() {
-            sender.send(input);
-        }
-    }
-}
+/// Where traffic tasks hand their events.
+pub(crate) type Outlet = EventOutlet<EntryInput>;
 
 /// Who waits for a reply.
 enum ReplyTarget {
@@ -71,7 +56,7 @@
 pub(crate) struct ControlLoop {
     control: EntryControl,
     name: EntryId,
-    outlet: EventOutlet,
+    outlet: Outlet,
     traffic: Handle,
     platform: Arc<PlatformClient>,
     peers: PeerCaller,
@@ -82,12 +67,12 @@
 
 impl ControlLoop {
     pub(crate) fn new(control: EntryControl, name: EntryId, platform: Arc<PlatformClient>, traffic: Handle) -> Self {
-        let outlet = EventOutlet::default();
+        let outlet = Outlet::default();
         let peers = PeerCaller::new(outlet.clone());
         Self { control, name, outlet, traffic, platform, peers, replies: HashMap::new(), sessions: HashMap::new(), next_id: 0 }
     }
 
-    pub(crate) fn event_outlet(&self) -> EventOutlet {
+    pub(crate) fn event_outlet(&self) -> Outlet {
         self.outlet.clone()
     }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,7 +1,6 @@
 //! Start and end of an entry.
 
 use std::net::SocketAddr;
-use std::thread::JoinHandle;
 
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
@@ -9,7 +8,7 @@
 use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::settings::EntrySettings;
 use vanillacleat_core::ticket::TicketSecret;
-use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, EventSender, ProcessRuntime, ThreadPause};
+use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, ProcessHandle, ProcessRuntime, ThreadPause};
 use vanillacleat_platform::{PlatformClient, PlatformOptions};
 
 use crate::control_loop::{ControlLoop, EntryInput};
@@ -25,10 +24,7 @@
     pub http_address: SocketAddr,
     /// Where agents and other entries connect.
     pub mesh_address: SocketAddr,
-    events: EventSender<EntryInput>,
-    pause: ThreadPause,
-    control: Option<JoinHandle<()>>,
-    runtime: ProcessRuntime,
+    process: ProcessHandle<EntryInput>,
 }
 
 impl EntryDaemon {
@@ -55,37 +51,23 @@
             settings.mesh_listen
         );
         let (http_address, mesh_address) = (settings.http_listen, settings.mesh_listen);
-        Ok(Self { http_address, mesh_address, events, pause, control: Some(thread), runtime })
+        let process = ProcessHandle::new(events, || EntryInput::Stop, pause, thread, runtime);
+        Ok(Self { http_address, mesh_address, process })
     }
 
     /// Returns the hold on the control thread, for experiments.
     pub fn pause(&self) -> ThreadPause {
-        self.pause.clone()
+        self.process.pause()
     }
 
     /// Asks the entry to leave and waits until it has: open jobs end, and a peer takes the kept answers.
-    pub fn drain(mut self) {
-        self.events.send(EntryInput::Event(EntryEvent::Drain));
-        if let Some(thread) = self.control.take() {
-            let _ = thread.join();
-        }
+    pub fn drain(self) {
+        self.process.drain(EntryInput::Event(EntryEvent::Drain));
     }
 
     /// Waits until the process is asked to leave, then drains.
     pub fn run(self) -> Result<(), Report<DaemonError>> {
-        self.runtime.block_on(vanillacleat_daemon::wait_for_stop()).change_context(DaemonError::Start)?;
-        self.drain();
-        Ok(())
-    }
-}
-
-impl Drop for EntryDaemon {
-    fn drop(&mut self) {
-        self.pause.set(false);
-        self.events.send(EntryInput::Stop);
-        if let Some(thread) = self.control.take() {
-            let _ = thread.join();
-        }
+        self.process.run(EntryInput::Event(EntryEvent::Drain))
     }
 }
 
