Hand a configuration on once: the entry that stored it sends it, the others fill in

Change: the storing entry sends at once to those without it, the others after 300 ms; a peer's word on the value counts for its being in force; a configuration frame is not heard of before it is taken; upkeep that scans runs every 100 ms.

--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -268,7 +268,9 @@
             return;
         };
         view.heard_at = self.now;
-        self.hear_revision(session, frame.revision);
+        if !matches!(frame.body, EntryFrame::Config(_)) {
+            self.hear_revision(session, frame.revision);
+        }
         match frame.body {
             EntryFrame::Welcome(welcome) => self.take_welcome(session, welcome),
             EntryFrame::Echo(echo) => self.take_echo(session, frame.revision, echo),
--- a/crates/control/src/entry/calls.rs
+++ b/crates/control/src/entry/calls.rs
@@ -9,7 +9,7 @@
 use super::events::EntryLog;
 use super::platform::{NameBinding, PlatformReply};
 use super::routing::TicketCall;
-use super::{CallerCall, CallerReply, EntryAction, EntryControl, NamedTicket};
+use super::{CallerCall, CallerReply, EntryAction, EntryControl};
 use crate::admission::AdmissionView;
 use crate::ReplyId;
 
@@ -62,7 +62,7 @@
             return self.refuse(reply, draining_refusal());
         }
         let ticket = self.mint.give(self.now, 1).remove(0);
-        let internal = self.keep_named(reply, name.clone(), spec);
+        let internal = self.keep_named(reply, spec);
         self.names.push_back((internal, NameBinding { name, ticket }));
     }
 
@@ -70,9 +70,8 @@
         let PlatformReply::Names(tickets) = reply else {
             return self.retry_names(bindings);
         };
-        for ((internal, binding), ticket) in bindings.into_iter().zip(tickets) {
-            let bound: NamedTicket = (binding.name, ticket);
-            self.submit_bound(internal, bound);
+        for ((internal, _), ticket) in bindings.into_iter().zip(tickets) {
+            self.submit_bound(internal, ticket);
         }
     }
 
--- a/crates/control/src/entry/changes.rs
+++ b/crates/control/src/entry/changes.rs
@@ -92,6 +92,9 @@
         match (&flow.step, reply) {
             (ChangeStep::Reading, PlatformReply::Config(version, value)) => {
                 self.take_stored_config(now, version, value.clone());
+                if self.hand_on_at.is_some() {
+                    self.hand_on_config();
+                }
                 self.write_change(version, value.map(|value| *value).unwrap_or_default());
             }
             (ChangeStep::Writing(revision), PlatformReply::Written) => {
--- a/crates/control/src/entry/mod.rs
+++ b/crates/control/src/entry/mod.rs
@@ -23,7 +23,8 @@
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 use vanillacleat_core::frames::{EntryFrame, Envelope, PeerReply, TaskAttempt, TaskOrder};
-use vanillacleat_core::ids::{EntryId, HomeKey, Incarnation, JobName, ZoneName};
+use vanillacleat_core::ids::{EntryId, HomeKey, Incarnation, ZoneName};
+use vanillacleat_core::job::JobSpec;
 use vanillacleat_core::settings::PolicySettings;
 use vanillacleat_core::ticket::TicketSecret;
 use vanillacleat_core::units::{Generation, MonoTime};
@@ -58,6 +59,8 @@
 pub const LOST_WORKER_GRACE: Duration = Duration::from_secs(5);
 /// Time between two events from which this process counts as having been stalled.
 const STALL_MIN: Duration = Duration::from_millis(500);
+/// Time between two rounds of upkeep.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(100);
 /// First of the reply ids that name flows inside the entry instead of somebody outside.
 const INTERNAL_REPLIES: u64 = 1 << 63;
 
@@ -66,6 +69,8 @@
 pub struct EntryControl {
     now: MonoTime,
     awake_at: MonoTime,
+    upkeep_at: MonoTime,
+    hand_on_at: Option<MonoTime>,
     zone: ZoneName,
     address: SmolStr,
     secret: TicketSecret,
@@ -91,6 +96,7 @@
     disown_at: Vec<(MonoTime, HomeKey)>,
     parked: Vec<ParkedCall>,
     forwarded: BTreeMap<CallId, ParkedCall>,
+    config_calls: BTreeMap<CallId, SmolStr>,
     requests: BTreeMap<ReplyId, RequestFlow>,
     seals: BTreeMap<JobPlace, SealFlow>,
     cancels: BTreeMap<(SessionId, Generation), Vec<TaskAttempt>>,
@@ -151,6 +157,8 @@
         Self {
             now: MonoTime::ZERO,
             awake_at: MonoTime::ZERO,
+            upkeep_at: MonoTime::ZERO,
+            hand_on_at: None,
             zone,
             address: address.clone(),
             mint: TicketMint::new(home, secret.clone(), lifetime),
@@ -176,6 +184,7 @@
             disown_at: Vec::new(),
             parked: Vec::new(),
             forwarded: BTreeMap::new(),
+            config_calls: BTreeMap::new(),
             requests: BTreeMap::new(),
             seals: BTreeMap::new(),
             cancels: BTreeMap::new(),
@@ -230,6 +239,24 @@
     fn tick(&mut self) {
         let effects = self.ledger.expire(self.now);
         self.apply(effects);
+        if self.now >= self.upkeep_at {
+            self.upkeep_at = self.now + UPKEEP_PERIOD;
+            self.keep_up();
+        }
+        if self.hand_on_at.is_some_and(|at| self.now >= at) {
+            self.hand_on_config();
+        }
+        self.call_peers();
+        self.poll_platform();
+        self.bind_names();
+        self.advance_changes();
+        self.advance_adoptions();
+        self.retry_parked();
+        self.advance_drain();
+    }
+
+    /// Does what scans all agents, jobs or witnesses.
+    fn keep_up(&mut self) {
         self.close_silent_sessions();
         self.give_up_lost_workers();
         self.dismiss_unsealed();
@@ -241,13 +268,6 @@
         self.fleet.forget_lost(self.now, WITNESS_SILENCE_MAX);
         self.fleet.forget_gone(expired_below);
         self.peers.forget_workers(self.now, self.policy.ticket_ms.to_duration());
-        self.call_peers();
-        self.poll_platform();
-        self.bind_names();
-        self.advance_changes();
-        self.advance_adoptions();
-        self.retry_parked();
-        self.advance_drain();
     }
 
     fn give_up_lost_workers(&mut self) {
@@ -317,6 +337,4 @@
 /// The tasks of one placement round for one session and generation, which travel in one frame.
 type DispatchBatch = BTreeMap<(SessionId, Generation), Vec<TaskOrder>>;
 /// The shared text of a job, as the ledger holds it.
-type SharedSpec = Arc<vanillacleat_core::job::JobSpec>;
-/// A caller's own name for a job, with the ticket it was bound to.
-type NamedTicket = (JobName, vanillacleat_core::ticket::Ticket);
+type SharedSpec = Arc<JobSpec>;
--- a/crates/control/src/entry/peers.rs
+++ b/crates/control/src/entry/peers.rs
@@ -1,5 +1,7 @@
 //! Heartbeats between entries.
 
+use std::collections::BTreeSet;
+
 use smol_str::SmolStr;
 use vanillacleat_core::config::ConfigValue;
 use vanillacleat_core::frames::{Envelope, HomeFence, PeerCall, PeerGossip, PeerReply};
@@ -125,6 +127,9 @@
             return self.finish_drain();
         }
         let now = self.now;
+        if let Some(address) = self.config_calls.remove(&call) {
+            return self.note_config_held(&address, reply.map(|envelope| envelope.revision));
+        }
         let Some((_, peer)) = self.peers.peers.iter_mut().find(|(_, peer)| peer.pending == Some(call)) else {
             return;
         };
@@ -184,9 +189,11 @@
         silent.for_each(|home| self.teams.forget_peer(&home.entry));
     }
 
-    pub(super) fn send_config_to_peers(&mut self) {
+    pub(super) fn send_config_to_peers(&mut self, missing: &BTreeSet<SmolStr>) {
         let now = self.now;
-        let addresses: Vec<SmolStr> = self.peers.live(now).map(|(address, _)| address.clone()).collect();
+        let is_behind = |peer: &PeerView| peer.home.as_ref().is_some_and(|home| missing.contains(home.entry.as_str()));
+        let behind = self.peers.live(now).filter(|(_, peer)| is_behind(peer));
+        let addresses: Vec<SmolStr> = behind.map(|(address, _)| address.clone()).collect();
         addresses.into_iter().for_each(|address| self.send_config_to(address));
     }
 
@@ -194,6 +201,15 @@
         let call = CallId(self.make_id());
         let value: Box<ConfigValue> = Box::new(self.config.value().clone());
         self.counters.configs += 1;
+        self.config_calls.insert(call, address.clone());
         self.call_peer(call, address, PeerCall::Config(value), false);
     }
+
+    fn note_config_held(&mut self, address: &SmolStr, revision: Option<Revision>) {
+        let home = self.peers.peers.get(address).and_then(|peer| peer.home.as_ref());
+        if let (Some(home), Some(revision)) = (home, revision) {
+            self.witnesses.note_revision(home.entry.as_str(), revision);
+            self.advance_changes();
+        }
+    }
 }
--- a/crates/control/src/entry/requests.rs
+++ b/crates/control/src/entry/requests.rs
@@ -2,15 +2,15 @@
 
 use std::sync::Arc;
 
-use vanillacleat_core::ids::JobName;
 use vanillacleat_core::job::JobSpec;
 use vanillacleat_core::outcome::{CallRefusal, JobAnswer, RefusalCode, TaskOutcome};
+use vanillacleat_core::ticket::Ticket;
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::calls::draining_refusal;
 use super::platform::NameBinding;
 use super::routing::TicketCall;
-use super::{CallerReply, EntryControl, NamedTicket, SharedSpec, INTERNAL_REPLIES};
+use super::{CallerReply, EntryControl, SharedSpec, INTERNAL_REPLIES};
 use crate::ReplyId;
 
 /// Tries of binding a name before the platform counts as down.
@@ -32,7 +32,7 @@
 enum FlowKind {
     Once,
     Idempotent,
-    Named(JobName),
+    Named,
 }
 
 impl EntryControl {
@@ -49,8 +49,8 @@
         self.try_request(internal);
     }
 
-    pub(super) fn keep_named(&mut self, reply: ReplyId, name: JobName, spec: JobSpec) -> ReplyId {
-        self.keep_flow(reply, spec, FlowKind::Named(name))
+    pub(super) fn keep_named(&mut self, reply: ReplyId, spec: JobSpec) -> ReplyId {
+        self.keep_flow(reply, spec, FlowKind::Named)
     }
 
     fn keep_flow(&mut self, reply: ReplyId, spec: JobSpec, kind: FlowKind) -> ReplyId {
@@ -74,10 +74,10 @@
 
     /// Returns whether nobody outside knows the ticket that is submitted for `reply`.
     pub(super) fn is_private(&self, reply: ReplyId) -> bool {
-        self.requests.get(&reply).is_some_and(|flow| !matches!(flow.kind, FlowKind::Named(_)))
+        self.requests.get(&reply).is_some_and(|flow| flow.kind != FlowKind::Named)
     }
 
-    pub(super) fn submit_bound(&mut self, internal: ReplyId, (_, ticket): NamedTicket) {
+    pub(super) fn submit_bound(&mut self, internal: ReplyId, ticket: Ticket) {
         if let Some(flow) = self.requests.get(&internal) {
             let call = TicketCall::Submit(flow.spec.clone());
             self.route(internal, ticket, call);
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -1,8 +1,9 @@
 //! Frames of agents.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use vanillacleat_core::config::ConfigValue;
 use vanillacleat_core::frames::{
     AgentFrame, AgentHello, BounceReason, EntryFrame, EntryWelcome, Envelope, FreshnessAsk, FreshnessEcho, TaskRecall, TaskResult,
@@ -20,6 +21,8 @@
 const SESSION_SILENCE_MAX: Duration = Duration::from_secs(5);
 /// The same for a session without any.
 const IDLE_SILENCE_MAX: Duration = Duration::from_secs(25);
+/// Time that an entry leaves a new configuration to the one that stored it.
+const HAND_ON_WAIT: Duration = Duration::from_millis(300);
 /// Questions of ours that may be unanswered on one session.
 const NONCES_KEPT: usize = 64;
 
@@ -236,15 +239,25 @@
         }
     }
 
-    /// Takes a newer configuration and hands it on at once.
+    /// Takes a newer configuration. The entry that stored it hands it on at once; the others hand it on a little later
+    /// to those that are still without it, so that an agent is not sent a copy by every entry.
     pub(super) fn offer_config(&mut self, value: ConfigValue) {
         if !self.config.offer(value) {
             return;
         }
         self.log("config_in_force", format!("revision={}", self.config.revision()));
-        let sessions: Vec<SessionId> = self.fleet.agents().filter_map(|view| view.session).collect();
+        self.hand_on_at = Some(self.now + HAND_ON_WAIT);
+    }
+
+    /// Hands the configuration on to the agents and peers that do not hold it.
+    pub(super) fn hand_on_config(&mut self) {
+        self.hand_on_at = None;
+        let revision = self.config.revision();
+        let missing: BTreeSet<SmolStr> = self.witnesses.find_missing(revision).into_iter().collect();
+        let behind = self.fleet.agents().filter(|view| missing.contains(view.worker.agent.as_str()));
+        let sessions: Vec<SessionId> = behind.filter_map(|view| view.session).collect();
         sessions.into_iter().for_each(|session| self.send_config(session));
-        self.send_config_to_peers();
+        self.send_config_to_peers(&missing);
     }
 
     fn send_config(&mut self, session: SessionId) {
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -45,6 +45,13 @@
         self.witnesses.insert(SmolStr::new(name), record);
     }
 
+    /// Notes that the known process `name` holds `revision`.
+    pub fn note_revision(&mut self, name: &str, revision: Revision) {
+        if let Some(record) = self.witnesses.get_mut(name) {
+            record.revision = record.revision.max(revision);
+        }
+    }
+
     /// Forgets a process that has restarted, for a new run knows nothing of what the earlier one confirmed.
     pub fn forget(&mut self, name: &str) {
         self.witnesses.remove(name);
