--- a/crates/control/tests/decision_parts.rs
+++ b/crates/control/tests/decision_parts.rs
@@ -5,14 +5,16 @@
 use proptest::prelude::*;
 use vanillacleat_control::breaker::BreakerBoard;
 use vanillacleat_control::config_holder::ConfigHolder;
+use vanillacleat_control::ledger::{JobLedger, JobPlace, LedgerFinding};
 use vanillacleat_control::quorum::WitnessBook;
 use vanillacleat_control::retry_budget::RetryBudget;
 use vanillacleat_control::team_limits::TeamLimits;
 use vanillacleat_control::ticket_mint::TicketMint;
 use vanillacleat_core::config::{ConfigChange, ConfigEdit, ConfigValue};
 use vanillacleat_core::ids::{AgentId, HomeKey, Incarnation, ServiceName, ZoneName};
+use vanillacleat_core::outcome::RefusalCode;
 use vanillacleat_core::ticket::TicketSecret;
-use vanillacleat_core::units::{MonoTime, Revision};
+use vanillacleat_core::units::{Generation, MonoTime, Revision};
 
 const NOW: MonoTime = MonoTime::from_millis(100_000);
 
@@ -39,6 +41,22 @@
     assert_eq!(mint.next_serial(), 10);
 }
 
+#[test]
+fn expired_tickets_are_refused() {
+    let home = HomeKey { entry: "entry-a".parse().unwrap(), incarnation: Incarnation(1) };
+    let mut ledger = JobLedger::new(1_000);
+    ledger.own(home.clone(), Generation(0), None);
+    let place = |serial| JobPlace { home: home.clone(), serial };
+    assert_eq!(ledger.find(&place(4), None, None), LedgerFinding::Unused);
+    ledger.purge(&home, 5);
+    let LedgerFinding::Refused(refusal) = ledger.find(&place(4), None, None) else {
+        panic!("an expired ticket is not served");
+    };
+    assert_eq!(refusal.code, RefusalCode::TicketExpired);
+    assert!(!refusal.code.proves_not_run(), "nobody remembers whether it ran");
+    assert_eq!(ledger.find(&place(5), None, None), LedgerFinding::Unused);
+}
+
 #[test]
 fn breaker_allows_single_trials() {
     let mut board = BreakerBoard::new(50);
