Remove dead pieces and twins found on reading the change again

The ledger's busy_workers and the hand-over's next_serial were read by nobody; two names for one step of the gate's records became one; a heartbeat's echo is looked up once. Behaviour is the same.

--- a/crates/control/src/entry/adoption.rs
+++ b/crates/control/src/entry/adoption.rs
@@ -202,7 +202,7 @@
 
     /// Returns the serial from which a task that no agent lists is proved never to have started.
     ///
-    /// Every run that an earlier owner used must have answered, or have been lost before the ticket was given out.
+    /// Every run that an earlier owner used must have answered, or have been lost before the job was accepted.
     fn find_provable(&self, home: &HomeKey, prior: &PriorOwners, answered: &BTreeSet<WorkerKey>) -> u64 {
         let missing = |notes: &[WorkerNote]| {
             let unanswered = notes.iter().filter(|note| !answered.contains(&note.worker));
--- a/crates/control/src/entry/draining.rs
+++ b/crates/control/src/entry/draining.rs
@@ -73,7 +73,7 @@
         }
         let expired_below = self.mint.expired_below(self.now);
         let answers = bound_answers(self.ledger.handed_answers(&fence.home));
-        let handover = HomeHandover { fence, next_serial: self.mint.next_serial(), expired_below, answers };
+        let handover = HomeHandover { fence, expired_below, answers };
         self.ledger.fence(&handover.fence.home);
         let call = CallId(self.make_id());
         self.drain_step = DrainStep::Handing(call);
@@ -91,7 +91,7 @@
             let refusal = CallRefusal::new(RefusalCode::Draining, "the entry is draining");
             return self.reply_to_peer(reply, PeerReply::Refused(refusal));
         }
-        let HomeHandover { fence, expired_below, answers, .. } = handover;
+        let HomeHandover { fence, expired_below, answers } = handover;
         self.log("home_taken_over", format!("home={} generation={} answers={}", fence.home, fence.generation, answers.len()));
         self.ledger.take_over(fence.home.clone(), fence.generation, expired_below, answers);
         self.keep_until_expired(fence.home.clone());
--- a/crates/control/src/entry/peer_book.rs
+++ b/crates/control/src/entry/peer_book.rs
@@ -51,11 +51,11 @@
 
 impl PeerView {
     /// Notes that the peer has heard the heartbeat `nonce`, and so did not adopt this entry's homes before it was sent.
-    pub(super) fn note_heard(&mut self, nonce: u64) {
-        let Some(sent) = self.sent.iter().find(|sent| sent.nonce == nonce) else {
-            return;
-        };
-        self.promised_at = self.promised_at.max(Some(sent.at));
+    /// Returns when that was.
+    pub(super) fn note_heard(&mut self, nonce: u64) -> Option<MonoTime> {
+        let sent_at = self.sent.iter().find(|sent| sent.nonce == nonce).map(|sent| sent.at);
+        self.promised_at = self.promised_at.max(sent_at);
+        sent_at
     }
 
     pub(super) fn new(now: MonoTime) -> Self {
@@ -216,9 +216,9 @@
 
     /// Returns whether no other entry can have adopted this one's homes.
     pub(super) fn is_ownership_proven(&self, now: MonoTime) -> bool {
-        let adopters = self.peers.values().filter(|peer| peer.may_adopt(now));
+        let mut adopters = self.peers.values().filter(|peer| peer.may_adopt(now));
         let is_promised = |peer: &PeerView| peer.promised_at.is_some_and(|at| now.since(at) < OWNERSHIP_LIFETIME);
-        adopters.into_iter().all(is_promised)
+        adopters.all(is_promised)
     }
 
     pub(super) fn live(&self, now: MonoTime) -> impl Iterator<Item = (&SmolStr, &PeerView)> {
--- a/crates/control/src/entry/peers.rs
+++ b/crates/control/src/entry/peers.rs
@@ -153,9 +153,8 @@
             (peer.told_version, peer.acked_version, peer.promised_at) = (0, 0, None);
             peer.sent.clear();
         }
-        peer.note_heard(gossip.echoed);
+        let asked_at = peer.note_heard(gossip.echoed);
         peer.heard_nonce = gossip.nonce;
-        let asked_at = peer.sent.iter().find(|sent| sent.nonce == gossip.echoed).map(|sent| sent.at);
         self.witnesses.note(now, name.as_str(), &gossip.zone, revision, asked_at.filter(|_| gossip.is_settled));
         if revision < self.config.revision() {
             self.send_config_to(gossip.address.clone());
--- a/crates/control/src/gate/mod.rs
+++ b/crates/control/src/gate/mod.rs
@@ -211,7 +211,7 @@
     pub fn unstart(&mut self, now: MonoTime, key: &TaskKey, upstream: &UpstreamName) -> TaskResult {
         self.upstreams.note_ended(upstream);
         self.upstreams.note_unreachable(upstream);
-        let attempt = self.records.note_unstarted(now, key);
+        let attempt = self.records.refuse_held(now, key);
         bounce(key.clone(), attempt, BounceReason::NoUpstream)
     }
 
@@ -288,7 +288,7 @@
 
     fn unqueue(&mut self, now: MonoTime, key: &TaskKey, reason: BounceReason) -> TaskResult {
         self.queue.take(key);
-        let attempt = self.records.note_unqueued(now, key);
+        let attempt = self.records.refuse_held(now, key);
         bounce(key.clone(), attempt, reason)
     }
 }
--- a/crates/control/src/gate/task_records.rs
+++ b/crates/control/src/gate/task_records.rs
@@ -92,17 +92,8 @@
         self.home_mut(&key.home).held += 1;
     }
 
-    /// Notes that a queued task left the queue without having started; returns its attempt.
-    pub(super) fn note_unqueued(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
-        self.refuse_held(now, key)
-    }
-
-    /// Notes that a task, counted as started, never left this host; returns its attempt.
-    pub(super) fn note_unstarted(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
-        self.refuse_held(now, key)
-    }
-
-    fn refuse_held(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
+    /// Notes that a queued task, or one that never left this host, does not start on this attempt; returns the attempt.
+    pub(super) fn refuse_held(&mut self, now: MonoTime, key: &TaskKey) -> u32 {
         let stamp = match self.find_mut(key) {
             Some(TaskState::Queued { stamp } | TaskState::Running { stamp, .. }) => *stamp,
             _ => unreachable!("a held task has a record"),
--- a/crates/control/src/ledger/readings.rs
+++ b/crates/control/src/ledger/readings.rs
@@ -59,11 +59,6 @@
         self.sent.get(worker).map_or(0, BTreeMap::len)
     }
 
-    /// Returns the agent runs that hold unreported tasks.
-    pub fn busy_workers(&self) -> Vec<WorkerKey> {
-        self.sent.keys().cloned().collect()
-    }
-
     /// Returns the service of an open job's task.
     pub fn service_of(&self, key: &TaskKey) -> Option<ServiceName> {
         self.open_record(&key.home, key.serial).map(|record| record.spec.service.clone())
--- a/crates/core/src/frames.rs
+++ b/crates/core/src/frames.rs
@@ -348,8 +348,6 @@
 pub struct HomeHandover {
     /// The home and the generation that the peer owns it under.
     pub fence: HomeFence,
-    /// The serial after the last ticket given out.
-    pub next_serial: u64,
     /// Serials below this one are expired.
     pub expired_below: u64,
     /// Every answer still kept.
