Let one piece serve where the ledger and the fleet did the same twice

Closing a job and dropping it took its waiting tasks out of the queue in two loops, and expiring and dropping forgot its sent tasks in two more; an agent's note was put together in two places. Each stands once now. Behaviour and golden files are the same.

--- a/crates/control/src/fleet/agent_view.rs
+++ b/crates/control/src/fleet/agent_view.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use vanillacleat_core::frames::{AgentHello, LoadReport, UpstreamOffer};
+use vanillacleat_core::frames::{AgentHello, LoadReport, UpstreamOffer, WorkerNote};
 use vanillacleat_core::ids::{ServiceName, WorkerKey, ZoneName};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::units::MonoTime;
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns the note by which other entries learn of this run.
+    pub(super) fn to_note(&self) -> WorkerNote {
+        WorkerNote { worker: self.worker.clone(), unused_from: self.unused_from }
+    }
+
     /// Returns the slots for `service`.
     pub fn slots(&self, service: &ServiceName) -> u32 {
         self.upstreams.iter().filter(|offer| offer.service == *service).map(|offer| offer.slots).sum()
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -145,7 +145,7 @@
 
     /// Returns every agent run that tickets which have not expired may have used or may use.
     pub fn worker_notes(&self) -> Vec<WorkerNote> {
-        let known = self.agents.values().map(|view| WorkerNote { worker: view.worker.clone(), unused_from: view.unused_from });
+        let known = self.agents.values().map(AgentView::to_note);
         self.gone.iter().cloned().chain(known).collect()
     }
 
@@ -159,7 +159,7 @@
     pub fn forget_lost(&mut self, now: MonoTime, age: Duration) {
         let is_kept = |view: &AgentView| view.lost_at.is_none_or(|at| now.since(at) < age);
         let forgotten = self.agents.values().filter(|view| !is_kept(view));
-        let notes = forgotten.map(|view| WorkerNote { worker: view.worker.clone(), unused_from: view.unused_from });
+        let notes = forgotten.map(AgentView::to_note);
         self.gone.extend(notes);
         self.agents.retain(|_, view| is_kept(view));
     }
--- a/crates/control/src/ledger/deciding.rs
+++ b/crates/control/src/ledger/deciding.rs
@@ -8,7 +8,8 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::home_record::JobState;
-use super::job_record::SlotState;
+use super::job_record::{JobRecord, SlotState};
+use super::ready_queue::ReadyQueue;
 use super::{make_key, open_record_mut, EndedTask, JobLedger, JobPlace, LedgerEffect, CLOSING_GRACE};
 use crate::ReplyId;
 
@@ -74,11 +75,7 @@
         if record.closing.is_some() {
             return Vec::new();
         }
-        for (task, slot) in record.slots.iter().enumerate() {
-            if matches!(slot, SlotState::Waiting { .. }) {
-                self.queue.remove(record, &make_key(place, task));
-            }
-        }
+        unqueue_waiting(&mut self.queue, record, place);
         record.close(reason);
         if record.left == 0 {
             return vec![self.decide(place)];
@@ -99,9 +96,7 @@
             return self.close(now, place, NotRunReason::Deadline);
         }
         let late: Vec<(usize, WorkerKey, u32)> = record.sent_slots().collect();
-        for (task, worker, _) in late {
-            self.unmark_sent(&worker, &make_key(place, task));
-        }
+        self.unmark_all(place, late);
         if let Some(record) = open_record_mut(&mut self.homes, &place.home, place.serial) {
             record.end_unreported();
         }
@@ -146,17 +141,18 @@
             return waiters;
         };
         waiters.append(&mut record.waiters);
-        for (task, slot) in record.slots.iter().enumerate() {
-            if matches!(slot, SlotState::Waiting { .. }) {
-                self.queue.remove(record, &make_key(place, task));
-            }
-        }
+        unqueue_waiting(&mut self.queue, record, place);
         let sent: Vec<(usize, WorkerKey, u32)> = record.sent_slots().collect();
+        self.unmark_all(place, sent);
+        self.remove_unanswered(place);
+        waiters
+    }
+
+    /// Forgets that tasks of a job are at workers.
+    fn unmark_all(&mut self, place: &JobPlace, sent: Vec<(usize, WorkerKey, u32)>) {
         for (task, worker, _) in sent {
             self.unmark_sent(&worker, &make_key(place, task));
         }
-        self.remove_unanswered(place);
-        waiters
     }
 
     fn remove_unanswered(&mut self, place: &JobPlace) {
@@ -166,3 +162,12 @@
         }
     }
 }
+
+/// Takes a job's waiting tasks out of the queue.
+fn unqueue_waiting(queue: &mut ReadyQueue, record: &JobRecord, place: &JobPlace) {
+    for (task, slot) in record.slots.iter().enumerate() {
+        if matches!(slot, SlotState::Waiting { .. }) {
+            queue.remove(record, &make_key(place, task));
+        }
+    }
+}
