--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -12,7 +12,7 @@
 use vanillacleat_core::ids::EntryId;
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventOutlet};
-use vanillacleat_platform::PlatformClient;
+use vanillacleat_etcd_gateway::PlatformClient;
 
 use crate::peer_calls::PeerCaller;
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::settings::EntrySettings;
 use vanillacleat_core::ticket::TicketSecret;
 use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, ProcessHandle, ProcessRuntime, ThreadPause};
-use vanillacleat_platform::{PlatformClient, PlatformOptions};
+use vanillacleat_etcd_gateway::{PlatformClient, PlatformOptions};
 
 use crate::control_loop::{ControlLoop, EntryInput};
 use crate::{http_api, mesh_server};
--- a/crates/platform/tests/gateway_calls.rs
+++ b/crates/etcd-gateway/tests/gateway_calls.rs
@@ -8,7 +8,7 @@
 use vanillacleat_core::ids::{HomeKey, Incarnation};
 use vanillacleat_core::ticket::TicketSecret;
 use vanillacleat_core::units::{Generation, Revision};
-use vanillacleat_platform::{PlatformClient, PlatformOptions};
+use vanillacleat_etcd_gateway::{PlatformClient, PlatformOptions};
 use vanillacleat_standin::{free_port, PlatformFaults, PlatformStandin};
 
 async fn start_store() -> (PlatformStandin, std::sync::Arc<PlatformClient>) {
