--- a/crates/control/src/agent/dialer.rs
+++ b/crates/control/src/agent/dialer.rs
@@ -10,7 +10,7 @@
 
 /// Wait before the first try after a failure.
 const REDIAL_MIN: Duration = Duration::from_millis(200);
-/// Longest wait between tries.
+/// Longest wait between tries, where the embedder names none.
 const REDIAL_MAX: Duration = Duration::from_secs(5);
 /// Failures in a row after which an address that is no seed is forgotten.
 const FAILURES_MAX: u32 = 100;
@@ -19,8 +19,9 @@
 
 /// An `EntryDialer` keeps one session with every entry it has heard of.
 #[derive(Debug)]
-pub(super) struct EntryDialer {
+pub struct EntryDialer {
     entries: BTreeMap<SmolStr, DialState>,
+    redial_max: Duration,
 }
 
 #[derive(Debug)]
@@ -32,29 +33,38 @@
 }
 
 impl EntryDialer {
-    pub(super) fn new(seeds: Vec<SmolStr>) -> Self {
+    /// Returns a dialer that knows the seeds.
+    pub fn new(seeds: Vec<SmolStr>) -> Self {
         let states = seeds.into_iter().map(|seed| (seed, DialState { is_seed: true, is_up: false, failures: 0, next_at: MonoTime::ZERO }));
-        Self { entries: states.collect() }
+        Self { entries: states.collect(), redial_max: REDIAL_MAX }
     }
 
-    pub(super) fn learn(&mut self, address: SmolStr) {
+    /// Returns the dialer with another longest wait between tries.
+    pub fn with_redial_max(self, redial_max: Duration) -> Self {
+        Self { redial_max, ..self }
+    }
+
+    /// Takes the address of an entry; a known one is left as it is.
+    pub fn learn(&mut self, address: SmolStr) {
         let state = DialState { is_seed: false, is_up: false, failures: 0, next_at: MonoTime::ZERO };
         self.entries.entry(address).or_insert(state);
     }
 
-    pub(super) fn note_up(&mut self, address: &SmolStr) {
+    /// Notes that a session with the entry stands.
+    pub fn note_up(&mut self, address: &SmolStr) {
         if let Some(state) = self.entries.get_mut(address) {
             (state.is_up, state.failures) = (true, 0);
         }
     }
 
-    pub(super) fn note_down(&mut self, address: &SmolStr, now: MonoTime, rng: &mut ChaCha8Rng) {
+    /// Notes that a session ended or a dial failed.
+    pub fn note_down(&mut self, address: &SmolStr, now: MonoTime, rng: &mut ChaCha8Rng) {
         let Some(state) = self.entries.get_mut(address) else {
             return;
         };
         state.is_up = false;
         state.failures += 1;
-        let wait = (REDIAL_MIN * 2_u32.pow(state.failures.min(6) - 1)).min(REDIAL_MAX);
+        let wait = (REDIAL_MIN * 2_u32.pow(state.failures.min(6) - 1)).min(self.redial_max);
         state.next_at = now + wait.mul_f64(rng.random_range(0.5..1.0));
         if state.failures > FAILURES_MAX && !state.is_seed {
             self.entries.remove(address);
@@ -62,7 +72,7 @@
     }
 
     /// Returns the addresses to dial now.
-    pub(super) fn due(&mut self, now: MonoTime, rng: &mut ChaCha8Rng) -> Vec<SmolStr> {
+    pub fn due(&mut self, now: MonoTime, rng: &mut ChaCha8Rng) -> Vec<SmolStr> {
         let mut due = Vec::new();
         for (address, state) in &mut self.entries {
             if !state.is_up && now >= state.next_at {
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -23,7 +23,7 @@
 use crate::gate::{StartGate, StartOrder, UpstreamNotice};
 use crate::SessionId;
 
-use dialer::EntryDialer;
+pub use dialer::EntryDialer;
 use session_view::SessionView;
 
 /// Time without a question from which a session is asked by a frame of its own.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,16 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod caller_job;
 pub mod config;
 pub mod errors;
 pub mod frames;
 pub mod ids;
 pub mod job;
 pub mod outcome;
+pub mod run_frames;
 pub mod settings;
+pub mod site_plan;
 pub mod ticket;
 pub mod units;
 
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -3,7 +3,7 @@
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use vanillacleat_core::units::MonoTime;
 
@@ -74,13 +74,13 @@
 }
 
 fn run_control<E>(receiver: &Receiver<E>, pause: &ThreadPause, tick: fn() -> E, step: &mut impl FnMut(MonoTime, E) -> ControlStep) {
-    let started_at = Instant::now();
+    let started_at = read_clock();
     let mut ticked_at = started_at;
     loop {
-        let until_tick = TICK_PERIOD.saturating_sub(ticked_at.elapsed());
+        let until_tick = TICK_PERIOD.saturating_sub(read_clock().saturating_sub(ticked_at));
         let event = receiver.recv_timeout(until_tick);
         pause.wait();
-        let now = MonoTime::from_elapsed(started_at.elapsed());
+        let now = MonoTime::from_elapsed(read_clock().saturating_sub(started_at));
         let outcome = match event {
             Ok(event) => step(now, event),
             Err(RecvTimeoutError::Timeout) => ControlStep::Continue,
@@ -89,12 +89,18 @@
         if outcome == ControlStep::Stop {
             return;
         }
-        if ticked_at.elapsed() < TICK_PERIOD {
+        if read_clock().saturating_sub(ticked_at) < TICK_PERIOD {
             continue;
         }
-        ticked_at = Instant::now();
+        ticked_at = read_clock();
         if step(now, tick()) == ControlStep::Stop {
             return;
         }
     }
 }
+
+/// Returns the time since the host's start, the time that it was suspended included: leases run on meanwhile.
+fn read_clock() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,8 +1,34 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event, on standard output. A reader that falls behind costs lines, which
+//! are counted, and never time.
 
-use std::io::Write;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::Arc;
 
-use env_logger::{Builder, Env};
+use env_logger::{Builder, Env, Target};
+
+/// Lines that may wait for the writer.
+const WAITING_LINES_MAX: usize = 4_096;
+
+/// A `LineQueue` takes formatted lines and hands them to the writing thread.
+struct LineQueue {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(bytes.to_vec()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
 
 /// Starts logging at the level of `RUST_LOG`, or at `info`. A second call has no effect.
 pub fn init_logging() {
@@ -11,6 +37,29 @@
         let level = record.level().as_str().to_ascii_lowercase();
         writeln!(buffer, "unix_ms={} level={level} {}", at.as_millis(), record.args())
     };
+    let (lines, waiting) = sync_channel(WAITING_LINES_MAX);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let queue = LineQueue { lines, dropped: dropped.clone() };
+    let started = std::thread::Builder::new().name("log-writer".to_owned()).spawn(move || write_lines(&waiting, &dropped));
     let filter = Env::default().default_filter_or("info,rocket=off,_=off,hyper=off,h2=off");
-    let _ = Builder::from_env(filter).format(format).try_init();
+    let mut builder = Builder::from_env(filter);
+    builder.format(format);
+    if started.is_ok() {
+        builder.target(Target::Pipe(Box::new(queue)));
+    }
+    let _ = builder.try_init();
+}
+
+fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut output = io::stdout();
+    while let Ok(line) = waiting.recv() {
+        let mut batch = line;
+        waiting.try_iter().for_each(|line| batch.extend_from_slice(&line));
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            batch.extend_from_slice(format!("level=warn event=log_lines_dropped count={lost}\n").as_bytes());
+        }
+        // A closed standard output leaves nobody to tell.
+        let _ = output.write_all(&batch).and_then(|()| output.flush());
+    }
 }
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use vanillacleat_control::entry::{CallerCall, CallerReply, EntryAction, EntryControl, EntryCounters, EntryEvent};
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::frames::{AgentFrame, EntryFrame, Envelope, PeerCall, PeerReply};
@@ -13,16 +13,15 @@
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventOutlet};
 use vanillacleat_etcd_gateway::PlatformClient;
+use vanillacleat_wire::SessionQueue;
 
 use crate::peer_calls::PeerCaller;
 
-/// Frames that may wait to be sent on one session; a session that falls further behind is ended.
-pub(crate) const UNSENT_FRAMES_MAX: usize = 4_096;
 /// Time given to the last replies before a drained entry exits.
 const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// The frames to one agent.
-pub(crate) type FrameQueue = mpsc::Sender<Envelope<EntryFrame>>;
+pub(crate) type FrameQueue = SessionQueue<Envelope<EntryFrame>>;
 
 /// An `EntryInput` is what the control thread takes.
 #[derive(Debug)]
@@ -123,7 +122,7 @@
                 }
             }
             EntryAction::Send { session, envelope } => {
-                let is_sent = self.sessions.get(&session).is_some_and(|queue| queue.try_send(envelope).is_ok());
+                let is_sent = self.sessions.get(&session).is_some_and(|queue| queue.try_send(envelope));
                 if !is_sent {
                     self.sessions.remove(&session);
                 }
--- a/crates/entry/src/mesh_server.rs
+++ b/crates/entry/src/mesh_server.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
-use vanillacleat_core::frames::{AgentFrame, EntryFrame, Envelope, PeerCall, PeerReply};
+use tokio::sync::oneshot;
+use vanillacleat_core::frames::{Envelope, PeerCall, PeerReply};
 use vanillacleat_daemon::EventSender;
-use vanillacleat_wire::{accept_streams, CallStream, FrameReceiver, FrameSender, IncomingStream, SessionStream, WireError};
+use vanillacleat_wire::{accept_streams, carry_session, make_queue, CallStream, FrameSender, IncomingStream, SessionStream, WireError};
 
-use crate::control_loop::{EntryInput, UNSENT_FRAMES_MAX};
+use crate::control_loop::EntryInput;
 
 type Events = EventSender<EntryInput>;
 
@@ -62,34 +62,13 @@
     let Ok((sender, receiver)) = stream.open() else {
         return;
     };
-    let (frames, queue) = mpsc::channel(UNSENT_FRAMES_MAX);
+    let (queue, unsent) = make_queue();
     let (opened, session) = oneshot::channel();
-    events.send(EntryInput::Opened(frames, opened));
+    events.send(EntryInput::Opened(queue, opened));
     let Ok(session) = session.await else {
         return;
     };
-    let cause = tokio::select! {
-        cause = write_frames(sender, queue) => cause,
-        cause = read_frames(receiver, |frame| events.send(EntryInput::Frame(session, frame))) => cause,
-    };
+    let cause = carry_session(sender, receiver, unsent, |frame| events.send(EntryInput::Frame(session, frame))).await;
     log::info!("event=session_ended session={session} cause={:?}", cause.to_string());
     events.send(EntryInput::Gone(session));
 }
-
-async fn write_frames(mut sender: FrameSender<Envelope<EntryFrame>>, mut queue: mpsc::Receiver<Envelope<EntryFrame>>) -> WireError {
-    while let Some(frame) = queue.recv().await {
-        if let Err(error) = sender.send(&frame).await {
-            return error;
-        }
-    }
-    WireError::Closed("the entry ended the session".to_owned())
-}
-
-async fn read_frames(mut receiver: FrameReceiver<Envelope<AgentFrame>>, take_frame: impl Fn(Envelope<AgentFrame>)) -> WireError {
-    loop {
-        match receiver.receive().await {
-            Ok(frame) => take_frame(frame),
-            Err(error) => return error,
-        }
-    }
-}
--- /dev/null
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -0,0 +1,152 @@
+//! Carries out the actions of an agent's control state.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use vanillacleat_control::SessionId;
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
+use vanillacleat_core::units::MonoTime;
+use vanillacleat_daemon::{ControlStep, EventOutlet};
+use vanillacleat_runs::agent::{RunnerAction, RunnerControl, RunnerEvent, WorkerCall, WorkerReply};
+use vanillacleat_wire::{carry_session, make_queue, FrameReceiver, FrameSender, SessionQueue, WireConnection, WireError};
+
+/// Longest time to open a session; entries are a few milliseconds away.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time given to the last frames before a drained agent exits.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+/// A `CallOrder` is a call of the worker with the name and the token that it carries.
+#[derive(Clone, Debug)]
+pub struct CallOrder {
+    /// The worker's name.
+    pub worker: SmolStr,
+    /// The agent's fencing token.
+    pub token: u64,
+    /// The call.
+    pub call: WorkerCall,
+}
+
+/// A `WorkerPort` makes a call of the worker. Its future always comes to an end.
+pub type WorkerPort = Arc<dyn Fn(CallOrder) -> Pin<Box<dyn Future<Output = WorkerReply> + Send>> + Send + Sync>;
+
+/// An `AgentInput` is what the control thread takes.
+#[derive(Debug)]
+pub(crate) enum AgentInput {
+    /// An event for the control state.
+    Event(RunnerEvent),
+    /// A session's queue, before the session's first event.
+    Opened(SessionId, SessionQueue<RunFrame>),
+    /// A request for the state.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// The daemon is dropped.
+    Stop,
+}
+
+/// Where traffic tasks hand their events.
+pub(crate) type Outlet = EventOutlet<AgentInput>;
+
+/// An `AgentLoop` owns the control state and everything that its actions need.
+pub(crate) struct AgentLoop {
+    control: RunnerControl,
+    outlet: Outlet,
+    traffic: Handle,
+    worker: WorkerPort,
+    queues: HashMap<SessionId, SessionQueue<RunFrame>>,
+    next_session: u64,
+}
+
+impl AgentLoop {
+    pub(crate) fn new(control: RunnerControl, worker: WorkerPort, traffic: Handle) -> Self {
+        Self { control, outlet: Outlet::default(), traffic, worker, queues: HashMap::new(), next_session: 0 }
+    }
+
+    pub(crate) fn event_outlet(&self) -> Outlet {
+        self.outlet.clone()
+    }
+
+    pub(crate) fn step(&mut self, now: MonoTime, input: AgentInput) -> ControlStep {
+        let event = match input {
+            AgentInput::Event(event) => event,
+            AgentInput::Opened(session, queue) => {
+                self.queues.insert(session, queue);
+                return ControlStep::Continue;
+            }
+            AgentInput::Dump(reply) => {
+                // Whoever asked may have gone.
+                let _ = reply.send(self.control.dump());
+                return ControlStep::Continue;
+            }
+            AgentInput::Stop => return ControlStep::Stop,
+        };
+        if let RunnerEvent::SessionGone { session: Some(session), .. } = &event {
+            self.queues.remove(session);
+        }
+        let actions = self.control.handle(now, event);
+        let is_drained = actions.iter().any(|action| matches!(action, RunnerAction::Drained));
+        actions.into_iter().for_each(|action| self.carry_out(action));
+        metrics::gauge!("runs_at_worker").set(self.control.book().len() as f64);
+        if is_drained {
+            std::thread::sleep(FLUSH_TIME);
+            return ControlStep::Stop;
+        }
+        ControlStep::Continue
+    }
+
+    fn carry_out(&mut self, action: RunnerAction) {
+        match action {
+            RunnerAction::Dial(address) => {
+                self.next_session += 1;
+                let session = SessionId(self.next_session);
+                self.traffic.spawn(dial_entry(session, address, self.outlet.clone()));
+            }
+            RunnerAction::Send { session, frame } => {
+                let is_sent = self.queues.get(&session).is_some_and(|queue| queue.try_send(frame));
+                if !is_sent {
+                    self.queues.remove(&session);
+                }
+            }
+            RunnerAction::Close(session) => drop(self.queues.remove(&session)),
+            RunnerAction::Call { life, worker, token, call } => {
+                let (outlet, reply) = (self.outlet.clone(), (self.worker)(CallOrder { worker, token, call }));
+                self.traffic.spawn(async move {
+                    let reply = reply.await;
+                    outlet.send(AgentInput::Event(RunnerEvent::Replied { life, reply }));
+                });
+            }
+            RunnerAction::Log(line) => log::info!("{line}"),
+            RunnerAction::Drained => {}
+        }
+    }
+}
+
+async fn dial_entry(session: SessionId, address: SmolStr, outlet: Outlet) {
+    let opened = timeout(DIAL_TIMEOUT, open_session(&address)).await;
+    let Ok(Ok((connection, sender, receiver))) = opened else {
+        return outlet.send(AgentInput::Event(RunnerEvent::SessionGone { session: None, address }));
+    };
+    let (queue, unsent) = make_queue();
+    outlet.send(AgentInput::Opened(session, queue));
+    outlet.send(AgentInput::Event(RunnerEvent::SessionUp { session, address: address.clone() }));
+    let take_frame = |frame| outlet.send(AgentInput::Event(RunnerEvent::Frame { session, frame }));
+    let cause = carry_session(sender, receiver, unsent, take_frame).await;
+    log::debug!("event=session_ended session={session} cause={:?}", cause.to_string());
+    drop(connection);
+    outlet.send(AgentInput::Event(RunnerEvent::SessionGone { session: Some(session), address }));
+}
+
+type OpenedSession = (WireConnection, FrameSender<RunFrame>, FrameReceiver<OrderFrame>);
+
+async fn open_session(address: &str) -> Result<OpenedSession, WireError> {
+    let address: SocketAddr = address.parse().map_err(|_| WireError::Closed(format!("{address} is no address")))?;
+    let connection = WireConnection::connect(address).await?;
+    let (sender, receiver) = connection.open_session().await?;
+    Ok((connection, sender, receiver))
+}
--- /dev/null
+++ b/crates/runs/src/agent/mod.rs
@@ -0,0 +1,13 @@
+//! The whole control state of an agent that runs tasks under leases at one worker.
+
+mod calls;
+mod run_book;
+mod runner;
+mod session_lease;
+mod worker_life;
+
+pub use calls::{EndedRun, HoldReply, RunList, RunningTask, StartRefusal, StartReply, StopReply, WorkerCall, WorkerReply};
+pub use run_book::{RunBook, RunState};
+pub use runner::{RunnerAction, RunnerControl, RunnerEvent, RunnerOptions};
+pub use session_lease::SessionLease;
+pub use worker_life::{WorkerClock, WorkerLife, WorkerNotice};
--- /dev/null
+++ b/crates/runs/src/agent/run_book.rs
@@ -0,0 +1,148 @@
+//! The runs at one worker, from the order to the end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_core::caller_job::{ResourceAmount, RunId};
+use vanillacleat_core::units::MonoTime;
+use vanillacleat_control::SessionId;
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunState {
+    /// Waits for room.
+    Queued,
+    /// The start was called and neither answered nor listed.
+    Starting,
+    /// At work.
+    Running {
+        /// Share of the work done, in percent.
+        percent: u8,
+    },
+    /// To be stopped.
+    Stopping {
+        /// When the next stop call is due, if none is under way.
+        call_at: Option<MonoTime>,
+        /// When the worker took the stop.
+        taken_at: Option<MonoTime>,
+        /// Whether the start was given up for want of an answer.
+        is_unanswered: bool,
+    },
+}
+
+/// A `RunRecord` is one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The session that ordered it; absent after the session was lost.
+    pub owner: Option<SessionId>,
+    /// The entry that ordered it.
+    pub entry: SmolStr,
+    /// What it occupies.
+    pub demand: ResourceAmount,
+    /// The task's text, until the start is called.
+    pub payload: SmolStr,
+    /// Where it stands.
+    pub state: RunState,
+    /// When the order came.
+    pub ordered_at: MonoTime,
+    /// When the start was called.
+    pub called_at: MonoTime,
+}
+
+/// A `RunBook` holds the runs at one worker. A run occupies room from the start call until its end is known.
+#[derive(Debug, Default)]
+pub struct RunBook {
+    runs: BTreeMap<RunId, RunRecord>,
+    used: ResourceAmount,
+}
+
+impl RunBook {
+    /// Adds an ordered run; a repeated order is ignored and returns false.
+    pub fn add(&mut self, run: RunId, record: RunRecord) -> bool {
+        if self.runs.contains_key(&run) {
+            return false;
+        }
+        self.used += record.demand;
+        self.runs.insert(run, record);
+        true
+    }
+
+    /// Removes a run that has ended.
+    pub fn remove(&mut self, run: &RunId) -> Option<RunRecord> {
+        let record = self.runs.remove(run)?;
+        self.used -= record.demand;
+        Some(record)
+    }
+
+    /// Returns a run.
+    pub fn get_mut(&mut self, run: &RunId) -> Option<&mut RunRecord> {
+        self.runs.get_mut(run)
+    }
+
+    /// Returns the runs in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&RunId, &RunRecord)> {
+        self.runs.iter()
+    }
+
+    /// Returns the runs in order.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&RunId, &mut RunRecord)> {
+        self.runs.iter_mut()
+    }
+
+    /// Returns the names of the runs that `matches` holds for.
+    pub fn select(&self, matches: impl Fn(&RunRecord) -> bool) -> Vec<RunId> {
+        self.runs.iter().filter(|(_, record)| matches(record)).map(|(run, _)| *run).collect()
+    }
+
+    /// Returns what all runs occupy or wait for.
+    pub fn used(&self) -> ResourceAmount {
+        self.used
+    }
+
+    /// Returns what the runs of one session occupy or wait for.
+    pub fn used_by(&self, owner: SessionId) -> ResourceAmount {
+        let own = self.runs.values().filter(|record| record.owner == Some(owner));
+        own.fold(ResourceAmount::default(), |sum, record| sum + record.demand)
+    }
+
+    /// Returns what the runs occupy that were given to the worker.
+    pub fn occupied(&self) -> ResourceAmount {
+        let given = self.runs.values().filter(|record| record.state != RunState::Queued);
+        given.fold(ResourceAmount::default(), |sum, record| sum + record.demand)
+    }
+
+    /// Returns whether there are no runs.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Returns how many runs there are.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns whether the worker has, or may have, any of the runs.
+    pub fn has_given(&self) -> bool {
+        self.runs.values().any(|record| record.state != RunState::Queued)
+    }
+}
+
+impl RunRecord {
+    /// Asks for the run to be stopped; returns whether it waited and can simply be dropped.
+    pub fn stop(&mut self, now: MonoTime, is_unanswered: bool) -> bool {
+        match self.state {
+            RunState::Queued => return true,
+            RunState::Stopping { .. } => {}
+            RunState::Starting | RunState::Running { .. } => {
+                self.state = RunState::Stopping { call_at: Some(now), taken_at: None, is_unanswered };
+            }
+        }
+        false
+    }
+
+    /// Returns the time since the start was called.
+    pub fn ran(&self, now: MonoTime) -> Duration {
+        now.since(self.called_at)
+    }
+}
--- /dev/null
+++ b/crates/runs/src/agent/runner.rs
@@ -0,0 +1,315 @@
+//! The control state of an agent: the only place where leased runs start, and the only caller of its worker.
+
+mod holding;
+mod ordering;
+mod reporting;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use smol_str::SmolStr;
+use vanillacleat_control::agent::EntryDialer;
+use vanillacleat_control::SessionId;
+use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunOutcome};
+use vanillacleat_core::site_plan::SitePlan;
+use vanillacleat_core::units::MonoTime;
+
+use super::calls::{WorkerCall, WorkerReply};
+use super::run_book::{RunBook, RunState};
+use super::session_lease::SessionLease;
+use super::worker_life::{WorkerLife, WorkerNotice};
+use crate::LeaseTerms;
+
+/// Longest wait between two tries to reach an entry.
+const REDIAL_MAX: Duration = Duration::from_millis(800);
+/// Step by which a refused fencing token is raised, in milliseconds of the clock that tokens come from.
+const TOKEN_STEP: u64 = 60_000;
+
+/// `RunnerOptions` are what an agent starts with.
+#[derive(Clone, Debug)]
+pub struct RunnerOptions {
+    /// The agent's stable name.
+    pub agent: AgentId,
+    /// The agent's run.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Addresses of entries to try first.
+    pub entries: Vec<SmolStr>,
+    /// First fencing token; later agents of the host start with higher ones.
+    pub token: u64,
+    /// Spans of the leases.
+    pub terms: LeaseTerms,
+    /// Longest time that a leaving agent waits for its runs.
+    pub drain_max: Duration,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// A `RunnerEvent` is something that happened.
+#[derive(Clone, Debug)]
+pub enum RunnerEvent {
+    /// A session with the entry at `address` stands.
+    SessionUp {
+        /// The session.
+        session: SessionId,
+        /// Where the entry listens.
+        address: SmolStr,
+    },
+    /// A session ended, or dialing failed.
+    SessionGone {
+        /// The session; absent if dialing failed.
+        session: Option<SessionId>,
+        /// Where the entry listens.
+        address: SmolStr,
+    },
+    /// An entry sent a frame.
+    Frame {
+        /// The session.
+        session: SessionId,
+        /// The frame.
+        frame: OrderFrame,
+    },
+    /// The worker announced itself.
+    Announced(WorkerNotice),
+    /// The worker said that it ends.
+    Left(SmolStr),
+    /// A call of the worker came to its end.
+    Replied {
+        /// The life that was called.
+        life: u64,
+        /// What came of the call.
+        reply: WorkerReply,
+    },
+    /// Addresses of entries were read.
+    EntriesRead(Vec<SmolStr>),
+    /// The process was asked to leave.
+    Drain,
+    /// Time passed.
+    Tick,
+}
+
+/// A `RunnerAction` is something to be done.
+#[derive(Clone, Debug)]
+pub enum RunnerAction {
+    /// Opens a session with the entry at this address.
+    Dial(SmolStr),
+    /// Sends a frame to an entry.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// The frame.
+        frame: RunFrame,
+    },
+    /// Ends a session.
+    Close(SessionId),
+    /// Calls the worker.
+    Call {
+        /// Names the worker's life for the reply.
+        life: u64,
+        /// The worker's name, which the call is meant for.
+        worker: SmolStr,
+        /// The agent's fencing token.
+        token: u64,
+        /// The call.
+        call: WorkerCall,
+    },
+    /// Writes a log line of key=value pairs.
+    Log(String),
+    /// The agent has drained and may exit.
+    Drained,
+}
+
+/// A `RunnerControl` is the whole control state of one agent. Feed it events; carry out the actions.
+#[derive(Debug)]
+pub struct RunnerControl {
+    now: MonoTime,
+    options: RunnerOptions,
+    token: u64,
+    life: Option<WorkerLife>,
+    life_number: u64,
+    book: RunBook,
+    sessions: BTreeMap<SessionId, SessionLease>,
+    dialer: EntryDialer,
+    rng: ChaCha8Rng,
+    plan: SitePlan,
+    hold: holding::HoldState,
+    drain_since: Option<MonoTime>,
+    actions: Vec<RunnerAction>,
+}
+
+impl RunnerControl {
+    /// Returns the state of an agent that has just started.
+    pub fn new(options: RunnerOptions) -> Self {
+        Self {
+            now: MonoTime::ZERO,
+            token: options.token,
+            life: None,
+            life_number: 0,
+            book: RunBook::default(),
+            sessions: BTreeMap::new(),
+            dialer: EntryDialer::new(options.entries.clone()).with_redial_max(REDIAL_MAX),
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            plan: SitePlan::default(),
+            hold: holding::HoldState::default(),
+            drain_since: None,
+            actions: Vec::new(),
+            options,
+        }
+    }
+
+    /// Takes an event that happened at `now`; returns what is to be done, in order.
+    pub fn handle(&mut self, now: MonoTime, event: RunnerEvent) -> Vec<RunnerAction> {
+        self.now = self.now.max(now);
+        self.end_lapsed_sessions();
+        match event {
+            RunnerEvent::SessionUp { session, address } => self.open_session(session, address),
+            RunnerEvent::SessionGone { session, address } => self.lose_session(session, &address),
+            RunnerEvent::Frame { session, frame } => self.take_frame(session, frame),
+            RunnerEvent::Announced(notice) => self.take_notice(notice),
+            RunnerEvent::Left(worker) => self.take_leave(&worker),
+            RunnerEvent::Replied { life, reply } => self.take_reply(life, reply),
+            RunnerEvent::EntriesRead(entries) => entries.into_iter().for_each(|address| self.dialer.learn(address)),
+            RunnerEvent::Drain => self.start_drain(),
+            RunnerEvent::Tick => {}
+        }
+        self.start_queued();
+        self.call_stops();
+        self.keep_hold();
+        self.flush_reports();
+        self.dial_entries();
+        self.finish_drain();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the runs at the worker.
+    pub fn book(&self) -> &RunBook {
+        &self.book
+    }
+
+    /// Returns how many sessions with entries stand.
+    pub fn session_count(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Returns the agent's whole state.
+    pub fn dump(&self) -> Value {
+        let runs = self.book.iter().map(|(run, record)| {
+            json!({ "run": run.to_string(), "entry": record.entry, "state": format!("{:?}", record.state), "ordered": record.ordered_at.to_string() })
+        });
+        json!({
+            "agent": self.options.agent,
+            "now": self.now.to_string(),
+            "fencing_token": self.token,
+            "plan_version": self.plan.version(),
+            "zones_out": self.plan.zones_out,
+            "worker": self.life.as_ref().map(|life| format!("{:?}", life.notice)),
+            "is_settled": self.life.as_ref().is_some_and(|life| life.is_settled),
+            "sessions": self.sessions.values().map(|session| session.address.clone()).collect::<Vec<_>>(),
+            "runs": runs.collect::<Vec<_>>(),
+        })
+    }
+
+    fn take_notice(&mut self, notice: WorkerNotice) {
+        match &mut self.life {
+            Some(life) if life.is_same(&notice) => life.renew(notice),
+            // A heartbeat of an earlier life that arrives late changes nothing.
+            Some(life) if notice.born < life.notice.born => {}
+            _ => self.begin_life(notice),
+        }
+    }
+
+    fn begin_life(&mut self, notice: WorkerNotice) {
+        self.end_life("reborn");
+        self.log(format!("event=worker_found worker={} born={} ready={}", notice.worker, notice.born, notice.is_ready));
+        self.life_number += 1;
+        self.life = Some(WorkerLife::new(notice));
+        self.hold = holding::HoldState::default();
+    }
+
+    /// Forgets the worker's life: whatever it ran has ended with it.
+    fn end_life(&mut self, cause: &str) {
+        let Some(life) = self.life.take() else {
+            return;
+        };
+        self.log(format!("event=worker_lost worker={} born={} cause={cause} runs={}", life.notice.worker, life.notice.born, self.book.len()));
+        self.life_number += 1;
+        self.end_runs(RunOutcome::Lost);
+    }
+
+    fn end_runs(&mut self, outcome: RunOutcome) {
+        let runs = self.book.select(|_| true);
+        runs.into_iter().for_each(|run| self.finish_run(&run, outcome));
+    }
+
+    fn take_leave(&mut self, worker: &SmolStr) {
+        if self.life.as_ref().is_some_and(|life| life.notice.worker == *worker) {
+            self.end_life("left");
+        }
+    }
+
+    fn take_reply(&mut self, life: u64, reply: WorkerReply) {
+        if life != self.life_number || self.life.is_none() {
+            return;
+        }
+        match reply {
+            WorkerReply::Start(run, reply) => self.take_start_reply(run, reply),
+            WorkerReply::Stop(run, reply) => self.take_stop_reply(run, reply),
+            WorkerReply::Hold(reply) => self.take_hold_reply(reply),
+        }
+    }
+
+    fn note_clock(&mut self, clock: u64) {
+        let now = self.now;
+        if let Some(life) = &mut self.life {
+            life.clock.note(now, clock);
+        }
+    }
+
+    /// An earlier agent of this host used a higher token: this one goes above it.
+    fn raise_token(&mut self) {
+        self.token += TOKEN_STEP;
+        self.log(format!("event=fencing_token_raised token={}", self.token));
+    }
+
+    fn call(&mut self, call: WorkerCall) {
+        let Some(life) = &self.life else {
+            return;
+        };
+        let (worker, token) = (life.notice.worker.clone(), self.token);
+        self.actions.push(RunnerAction::Call { life: self.life_number, worker, token, call });
+    }
+
+    fn log(&mut self, line: String) {
+        self.actions.push(RunnerAction::Log(line));
+    }
+
+    fn start_drain(&mut self) {
+        if self.drain_since.is_some() {
+            return;
+        }
+        self.drain_since = Some(self.now);
+        self.log(format!("event=drain_started runs={}", self.book.len()));
+        let queued = self.book.select(|record| record.state == RunState::Queued);
+        queued.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Closed));
+    }
+
+    fn finish_drain(&mut self) {
+        let Some(since) = self.drain_since else {
+            return;
+        };
+        let is_late = self.now.since(since) >= self.options.drain_max;
+        if self.book.is_empty() || is_late {
+            let left = self.book.len();
+            self.end_runs(RunOutcome::Lost);
+            self.flush_reports();
+            self.log(format!("event=drained runs_left={left}"));
+            self.actions.push(RunnerAction::Drained);
+        }
+    }
+}
+
--- /dev/null
+++ b/crates/runs/src/agent/runner/holding.rs
@@ -0,0 +1,152 @@
+//! The renewal of the worker's lease and what the worker lists.
+
+use std::time::Duration;
+
+use vanillacleat_core::caller_job::RunId;
+use vanillacleat_core::run_frames::RunOutcome;
+use vanillacleat_core::units::MonoTime;
+
+use super::RunnerControl;
+use crate::agent::calls::{HoldReply, RunList, WorkerCall};
+use crate::agent::run_book::RunState;
+
+/// Longest time that a hold waits for an end; a third of the worker's lease, so that renewals overlap.
+const HOLD_WAIT: Duration = Duration::from_millis(200);
+/// The same while a stopped run has to be seen gone.
+const STOP_WAIT: Duration = Duration::from_millis(20);
+/// Pause after a hold that was not answered.
+const HOLD_PAUSE: Duration = Duration::from_millis(50);
+
+/// A `HoldState` is the one hold call that may be under way.
+#[derive(Debug, Default)]
+pub(super) struct HoldState {
+    /// When the call was made, while it is under way.
+    pub sent_at: Option<MonoTime>,
+    /// The earliest moment of the next call.
+    pub due_at: MonoTime,
+    /// When the worker's lease was last extended, or may have been.
+    pub extended_at: MonoTime,
+    /// Holds in a row that were not answered.
+    pub failures: u32,
+}
+
+impl RunnerControl {
+    /// Keeps one hold call under way while something runs or an end has to be acknowledged.
+    pub(super) fn keep_hold(&mut self) {
+        self.give_up_silent_worker();
+        let Some(life) = &self.life else {
+            return;
+        };
+        let is_wanted = !life.is_settled || self.book.has_given() || life.observed > life.acknowledged;
+        if !is_wanted || self.hold.sent_at.is_some() || self.now < self.hold.due_at {
+            return;
+        }
+        let is_renewing = life.is_settled && self.book.has_given() && self.hold.failures == 0;
+        let lease_end = is_renewing.then(|| life.clock.lease_end(self.now, self.options.terms.worker_lease));
+        let is_stopping = |state: &RunState| matches!(state, RunState::Stopping { taken_at: Some(_), .. });
+        let wait = match is_renewing {
+            true if self.book.iter().any(|(_, record)| is_stopping(&record.state)) => STOP_WAIT,
+            true => HOLD_WAIT,
+            false => Duration::ZERO,
+        };
+        let observed = life.observed;
+        if is_renewing {
+            self.hold.extended_at = self.now;
+        }
+        self.hold.sent_at = Some(self.now);
+        self.call(WorkerCall::Hold { lease_end, observed, wait });
+    }
+
+    /// A worker that has not answered for as long as its lease lasts has ended all runs by itself.
+    fn give_up_silent_worker(&mut self) {
+        let terms = &self.options.terms;
+        let lapse = terms.worker_lease + terms.worker_lease / 20 + terms.stop_timeout * 2;
+        if self.hold.failures == 0 || !self.book.has_given() || self.now.since(self.hold.extended_at) < lapse {
+            return;
+        }
+        self.log(format!("event=worker_silent failures={} runs={}", self.hold.failures, self.book.len()));
+        if let Some(life) = &mut self.life {
+            life.is_settled = false;
+        }
+        self.end_runs(RunOutcome::Lost);
+    }
+
+    pub(super) fn take_hold_reply(&mut self, reply: HoldReply) {
+        let sent_at = self.hold.sent_at.take().unwrap_or(self.now);
+        match reply {
+            HoldReply::Listed(list) => self.take_list(sent_at, &list),
+            HoldReply::Fenced => self.raise_token(),
+            HoldReply::OtherLife => self.end_life("other_life"),
+            HoldReply::Unanswered => {
+                self.hold.failures += 1;
+                self.hold.due_at = self.now + HOLD_PAUSE;
+            }
+        }
+    }
+
+    fn take_list(&mut self, sent_at: MonoTime, list: &RunList) {
+        self.hold.failures = 0;
+        self.note_clock(list.clock);
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        if list.born > life.notice.born {
+            return self.end_life("reborn");
+        }
+        life.acknowledged = life.observed;
+        let fresh: Vec<_> = list.ended.iter().filter(|end| end.number > life.observed).copied().collect();
+        life.observed = fresh.iter().map(|end| end.number).fold(life.observed, u64::max);
+        for end in fresh {
+            if let Some(run) = end.run {
+                self.finish_run(&run, end.outcome);
+            }
+        }
+        self.take_running(list);
+        self.settle_missing(sent_at, list);
+    }
+
+    /// Takes what is at work; runs that nobody here ordered are stopped.
+    fn take_running(&mut self, list: &RunList) {
+        let mut strangers = Vec::new();
+        for task in &list.running {
+            match self.book.get_mut(&task.run).map(|record| &mut record.state) {
+                Some(state @ (RunState::Starting | RunState::Running { .. })) => *state = RunState::Running { percent: task.percent },
+                Some(_) => {}
+                None => strangers.push(task.run),
+            }
+        }
+        if strangers.is_empty() {
+            if let Some(life) = self.life.as_mut().filter(|life| !life.is_settled) {
+                life.is_settled = true;
+                self.log(format!("event=worker_settled observed={}", list.ended.len()));
+            }
+            return;
+        }
+        self.log(format!("event=strangers_stopped runs={} first={}", strangers.len(), strangers[0]));
+        strangers.into_iter().for_each(|run| self.call(WorkerCall::Stop { run }));
+        self.hold.due_at = self.now + STOP_WAIT;
+    }
+
+    /// Ends the runs that should be listed and are not.
+    fn settle_missing(&mut self, sent_at: MonoTime, list: &RunList) {
+        let is_listed = |run: &RunId| list.running.iter().any(|task| task.run == *run);
+        let mut missing = Vec::new();
+        for (run, record) in self.book.iter() {
+            let outcome = match record.state {
+                RunState::Running { .. } if record.called_at < sent_at => RunOutcome::Lost,
+                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
+                    if is_unanswered {
+                        RunOutcome::Unanswered
+                    } else {
+                        RunOutcome::Stopped
+                    }
+                }
+                _ => continue,
+            };
+            if !is_listed(run) {
+                missing.push((*run, outcome));
+            }
+        }
+        missing.into_iter().for_each(|(run, outcome)| self.finish_run(&run, outcome));
+    }
+}
--- /dev/null
+++ b/crates/runs/src/agent/runner/ordering.rs
@@ -0,0 +1,205 @@
+//! Orders of entries: starts, stops and the plan.
+
+use std::time::Duration;
+
+use vanillacleat_control::SessionId;
+use vanillacleat_core::caller_job::RunId;
+use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::site_plan::SitePlan;
+use vanillacleat_core::units::Millis;
+
+use super::RunnerControl;
+use crate::agent::calls::{StartRefusal, StartReply, StopReply, WorkerCall};
+use crate::agent::run_book::{RunRecord, RunState};
+
+/// Longest time that a start waits here for room; its entry may have a better place by then.
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(100);
+
+impl RunnerControl {
+    pub(super) fn take_frame(&mut self, session: SessionId, frame: OrderFrame) {
+        match frame {
+            OrderFrame::Orders(orders) => self.take_orders(session, orders),
+            OrderFrame::Plan(plan) => self.take_plan(&plan),
+            OrderFrame::Entries(entries) => entries.into_iter().for_each(|address| self.dialer.learn(address)),
+        }
+    }
+
+    fn take_plan(&mut self, plan: &SitePlan) {
+        if self.plan.merge(plan) {
+            let (version, zones) = (self.plan.version(), self.plan.zones_out.len());
+            self.log(format!("event=plan_taken version={version} zones_out={zones} revision={}", self.plan.zones_revision));
+        }
+    }
+
+    fn take_orders(&mut self, session: SessionId, orders: RunOrders) {
+        let span = self.options.terms.session_lease;
+        let Some(lease) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        lease.renew(orders.echo, span);
+        let RunOrders { payloads, starts, stops, .. } = orders;
+        for start in starts {
+            let payload = payloads.get(usize::from(start.payload)).cloned().unwrap_or_default();
+            self.take_start(session, start, payload);
+        }
+        stops.iter().for_each(|run| self.stop_run(run));
+    }
+
+    fn take_start(&mut self, session: SessionId, start: RunStart, payload: smol_str::SmolStr) {
+        let Some(lease) = self.sessions.get(&session) else {
+            return;
+        };
+        let may_start = lease.is_valid(self.now) && self.is_open();
+        let record = RunRecord {
+            owner: Some(session),
+            entry: lease.address.clone(),
+            demand: start.demand,
+            payload,
+            state: RunState::Queued,
+            ordered_at: self.now,
+            called_at: self.now,
+        };
+        if self.book.add(start.run, record) && !may_start {
+            self.finish_run(&start.run, RunOutcome::Closed);
+        }
+    }
+
+    /// Returns whether runs may start at the worker.
+    pub(super) fn is_open(&self) -> bool {
+        let is_ready = self.life.as_ref().is_some_and(|life| life.is_settled && life.notice.is_ready);
+        is_ready && self.drain_since.is_none() && !self.plan.zones_out.contains(&self.options.zone)
+    }
+
+    /// Calls the starts that have room, in the order in which they came.
+    pub(super) fn start_queued(&mut self) {
+        let mut queued: Vec<_> = self.book.iter().filter(|(_, record)| record.state == RunState::Queued).collect();
+        if queued.is_empty() {
+            return;
+        }
+        queued.sort_by_key(|(_, record)| record.ordered_at);
+        let queued: Vec<RunId> = queued.into_iter().map(|(run, _)| *run).collect();
+        queued.iter().for_each(|run| self.try_start(run));
+    }
+
+    fn try_start(&mut self, run: &RunId) {
+        let is_open = self.is_open();
+        let room = self.life.as_ref().map(|life| life.notice.capacity.less(&self.book.occupied())).unwrap_or_default();
+        let lease_end = self.life.as_ref().map_or(0, |life| life.clock.lease_end(self.now, self.options.terms.worker_lease));
+        let now = self.now;
+        let Some(record) = self.book.get_mut(run) else {
+            return;
+        };
+        if !is_open {
+            return self.finish_run(run, RunOutcome::Closed);
+        }
+        if !record.demand.fits(&room) {
+            if now.since(record.ordered_at) >= QUEUE_WAIT_MAX {
+                self.finish_run(run, RunOutcome::NoRoom);
+            }
+            return;
+        }
+        record.state = RunState::Starting;
+        record.called_at = now;
+        let payload = std::mem::take(&mut record.payload);
+        self.hold.extended_at = now;
+        self.call(WorkerCall::Start { run: *run, payload, lease_end });
+    }
+
+    pub(super) fn take_start_reply(&mut self, run: RunId, reply: StartReply) {
+        match reply {
+            StartReply::Started(clock) => {
+                self.note_clock(clock);
+                let record = self.book.get_mut(&run).filter(|record| record.state == RunState::Starting);
+                if let Some(record) = record {
+                    record.state = RunState::Running { percent: 0 };
+                    record.called_at = self.now;
+                }
+            }
+            StartReply::Refused(refusal, clock) => {
+                self.note_clock(clock);
+                if refusal == StartRefusal::Fenced {
+                    self.raise_token();
+                }
+                self.finish_run(&run, refused_outcome(refusal));
+            }
+            StartReply::Shed => self.finish_run(&run, RunOutcome::Shed),
+            StartReply::OtherLife => self.end_life("other_life"),
+            StartReply::Unanswered => {
+                let now = self.now;
+                let record = self.book.get_mut(&run).filter(|record| record.state == RunState::Starting);
+                if let Some(record) = record {
+                    record.stop(now, true);
+                }
+            }
+        }
+    }
+
+    pub(super) fn stop_run(&mut self, run: &RunId) {
+        let now = self.now;
+        let is_queued = self.book.get_mut(run).is_some_and(|record| record.stop(now, false));
+        if is_queued {
+            self.finish_run(run, RunOutcome::Closed);
+        }
+    }
+
+    /// Makes the stop calls that are due.
+    pub(super) fn call_stops(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (run, record) in self.book.iter_mut() {
+            if let RunState::Stopping { call_at, taken_at: None, .. } = &mut record.state {
+                if call_at.is_some_and(|at| now >= at) {
+                    *call_at = None;
+                    due.push(*run);
+                }
+            }
+        }
+        due.into_iter().for_each(|run| self.call(WorkerCall::Stop { run }));
+    }
+
+    pub(super) fn take_stop_reply(&mut self, run: RunId, reply: StopReply) {
+        match reply {
+            StopReply::Taken(clock) => {
+                self.note_clock(clock);
+                let now = self.now;
+                if let Some(RunState::Stopping { taken_at, .. }) = self.book.get_mut(&run).map(|record| &mut record.state) {
+                    *taken_at = Some(now);
+                }
+            }
+            StopReply::Fenced => {
+                self.raise_token();
+                self.retry_stop(run);
+            }
+            StopReply::Unanswered => self.retry_stop(run),
+            StopReply::OtherLife => self.end_life("other_life"),
+        }
+    }
+
+    fn retry_stop(&mut self, run: RunId) {
+        let now = self.now;
+        if let Some(RunState::Stopping { call_at, .. }) = self.book.get_mut(&run).map(|record| &mut record.state) {
+            *call_at = Some(now);
+        }
+    }
+
+    /// Notes the end of a run and reports it to its entry.
+    pub(super) fn finish_run(&mut self, run: &RunId, outcome: RunOutcome) {
+        let Some(record) = self.book.remove(run) else {
+            return;
+        };
+        let ran = Millis::from_duration(record.ran(self.now));
+        self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran}", record.entry));
+        let session = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
+        if let Some(session) = session {
+            session.ends.push(RunEnd { run: *run, outcome, ran });
+        }
+    }
+}
+
+fn refused_outcome(refusal: StartRefusal) -> RunOutcome {
+    match refusal {
+        StartRefusal::NoRoom => RunOutcome::NoRoom,
+        StartRefusal::Malformed => RunOutcome::Failed,
+        StartRefusal::Fenced | StartRefusal::Outdated | StartRefusal::Late => RunOutcome::Unanswered,
+    }
+}
--- /dev/null
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -0,0 +1,107 @@
+//! Sessions with entries: reports, leases and their loss.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_control::SessionId;
+use vanillacleat_core::run_frames::{RunFrame, RunHello, RunReport};
+
+use super::{RunnerAction, RunnerControl};
+use crate::agent::session_lease::SessionLease;
+
+/// Time between two reports on a session; a third of the session's lease, so that renewals overlap.
+const REPORT_PERIOD: Duration = Duration::from_millis(150);
+
+impl RunnerControl {
+    pub(super) fn open_session(&mut self, session: SessionId, address: SmolStr) {
+        self.dialer.note_up(&address);
+        let mut unsettled = Vec::new();
+        for (run, record) in self.book.iter_mut().filter(|(_, record)| record.entry == address && record.owner.is_none()) {
+            record.owner = Some(session);
+            unsettled.push(*run);
+        }
+        self.log(format!("event=entry_found entry={address} unsettled={}", unsettled.len()));
+        self.sessions.insert(session, SessionLease::new(self.now, address));
+        let hello = RunHello {
+            agent: self.options.agent.clone(),
+            incarnation: self.options.incarnation,
+            zone: self.options.zone.clone(),
+            plan_version: self.plan.version().0,
+            unsettled,
+        };
+        self.actions.push(RunnerAction::Send { session, frame: RunFrame::Hello(hello) });
+        if self.plan.table.is_some() {
+            let plan = Box::new(self.plan.clone());
+            self.actions.push(RunnerAction::Send { session, frame: RunFrame::Plan(plan) });
+        }
+    }
+
+    pub(super) fn lose_session(&mut self, session: Option<SessionId>, address: &SmolStr) {
+        if session.is_some_and(|session| !self.sessions.contains_key(&session)) {
+            return;
+        }
+        self.dialer.note_down(address, self.now, &mut self.rng);
+        if let Some(session) = session {
+            self.drop_session(session, "broken");
+        }
+    }
+
+    /// Ends a session. Its runs are stopped: their entry may be gone, and the caller may ask another one.
+    fn drop_session(&mut self, session: SessionId, cause: &str) {
+        let Some(lease) = self.sessions.remove(&session) else {
+            return;
+        };
+        let runs = self.book.select(|record| record.owner == Some(session));
+        self.log(format!("event=entry_lost entry={} cause={cause} runs={}", lease.address, runs.len()));
+        for run in runs {
+            if let Some(record) = self.book.get_mut(&run) {
+                record.owner = None;
+            }
+            self.stop_run(&run);
+        }
+    }
+
+    pub(super) fn end_lapsed_sessions(&mut self) {
+        let lapsed = self.sessions.iter().filter(|(_, lease)| lease.has_lapsed(self.now));
+        let lapsed: Vec<(SessionId, SmolStr)> = lapsed.map(|(session, lease)| (*session, lease.address.clone())).collect();
+        for (session, address) in lapsed {
+            self.actions.push(RunnerAction::Close(session));
+            self.dialer.note_down(&address, self.now, &mut self.rng);
+            self.drop_session(session, "silent");
+        }
+    }
+
+    /// Reports ends at once, and the worker's state every period.
+    pub(super) fn flush_reports(&mut self) {
+        let offer = self.life.as_ref().map(|life| life.to_offer());
+        let is_closed = !self.is_open();
+        let now = self.now;
+        for (session, lease) in &mut self.sessions {
+            let is_due = lease.reported_at.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
+            if !is_due && lease.ends.is_empty() && lease.told == offer {
+                continue;
+            }
+            let report = RunReport {
+                nonce: lease.ask(now),
+                ends: std::mem::take(&mut lease.ends),
+                used: self.book.used(),
+                used_by_you: self.book.used_by(*session),
+                worker: if lease.told == offer { None } else { offer.clone() },
+                is_closed,
+                progress: Vec::new(),
+            };
+            lease.told.clone_from(&offer);
+            self.actions.push(RunnerAction::Send { session: *session, frame: RunFrame::Report(report) });
+        }
+    }
+
+    /// Dials entries once nothing of an earlier agent is at work, so that a new run of the agent proves it.
+    pub(super) fn dial_entries(&mut self) {
+        let is_settled = self.life.as_ref().is_some_and(|life| life.is_settled);
+        if !is_settled && self.sessions.is_empty() {
+            return;
+        }
+        let dials = self.dialer.due(self.now, &mut self.rng);
+        self.actions.extend(dials.into_iter().map(RunnerAction::Dial));
+    }
+}
--- /dev/null
+++ b/crates/runs/src/agent/session_lease.rs
@@ -0,0 +1,78 @@
+//! The lease that a session with an entry gives to its runs.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_core::run_frames::{RunEnd, WorkerOffer};
+use vanillacleat_core::units::MonoTime;
+
+/// Time after its opening within which a session must have a first lease.
+const FIRST_LEASE_MAX: Duration = Duration::from_millis(1_000);
+/// Unanswered reports that are remembered; older ones can't renew the lease any more.
+const QUESTIONS_MAX: usize = 32;
+
+/// A `SessionLease` is one session with an entry and the lease under which its runs are at work.
+#[derive(Debug)]
+pub struct SessionLease {
+    /// Where the entry listens.
+    pub address: SmolStr,
+    /// Ends to report.
+    pub ends: Vec<RunEnd>,
+    /// What the entry was last told of the worker.
+    pub told: Option<WorkerOffer>,
+    /// When the last report was sent.
+    pub reported_at: Option<MonoTime>,
+    questions: VecDeque<(u64, MonoTime)>,
+    next_nonce: u64,
+    leased_until: MonoTime,
+    silent_until: MonoTime,
+}
+
+impl SessionLease {
+    /// Returns a session without a lease that opened at `now`.
+    pub fn new(now: MonoTime, address: SmolStr) -> Self {
+        Self {
+            address,
+            ends: Vec::new(),
+            told: None,
+            reported_at: None,
+            questions: VecDeque::new(),
+            next_nonce: 0,
+            leased_until: MonoTime::ZERO,
+            silent_until: now + FIRST_LEASE_MAX,
+        }
+    }
+
+    /// Notes that a report is sent at `now`; returns its nonce.
+    pub fn ask(&mut self, now: MonoTime) -> u64 {
+        self.next_nonce += 1;
+        self.reported_at = Some(now);
+        self.questions.push_back((self.next_nonce, now));
+        if self.questions.len() > QUESTIONS_MAX {
+            self.questions.pop_front();
+        }
+        self.next_nonce
+    }
+
+    /// Takes the nonce that the entry repeated: the lease lasts for `span` from the report that carried it.
+    pub fn renew(&mut self, nonce: u64, span: Duration) {
+        while let Some((asked, at)) = self.questions.front().copied() {
+            if asked > nonce {
+                return;
+            }
+            self.leased_until = self.leased_until.max(at + span);
+            self.questions.pop_front();
+        }
+    }
+
+    /// Returns whether runs may be at work at `now`.
+    pub fn is_valid(&self, now: MonoTime) -> bool {
+        now < self.leased_until
+    }
+
+    /// Returns whether the lease has ended, or the first one is overdue.
+    pub fn has_lapsed(&self, now: MonoTime) -> bool {
+        !self.is_valid(now) && (self.leased_until > MonoTime::ZERO || now >= self.silent_until)
+    }
+}
--- /dev/null
+++ b/crates/runs/src/entry/dispatch.rs
@@ -0,0 +1,259 @@
+//! The control state of an entry that holds jobs under their callers' names.
+
+mod answering;
+mod placing;
+mod sessions;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use smol_str::SmolStr;
+use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::ids::ZoneName;
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunOrders};
+use vanillacleat_core::site_plan::SitePlan;
+use vanillacleat_core::units::MonoTime;
+
+use super::caller_calls::{CallerAnswer, CallerRequest};
+use super::job_book::JobBook;
+use super::run_times::RouteTimes;
+use super::worker_board::WorkerBoard;
+use crate::LeaseTerms;
+
+/// Time between two rounds over all jobs and workers.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(10);
+/// Time between two events from which this process counts as having been stalled.
+const STALL_MIN: Duration = Duration::from_millis(300);
+/// Time for which lost agents are remembered.
+const LOST_AGE_MAX: Duration = Duration::from_secs(60);
+
+/// `DispatchOptions` are what an entry starts with.
+#[derive(Clone, Debug)]
+pub struct DispatchOptions {
+    /// The entry's availability zone.
+    pub zone: ZoneName,
+    /// Spans of the leases.
+    pub terms: LeaseTerms,
+    /// Time after the request to leave for which new requests are still served, since callers still come.
+    pub linger: Duration,
+    /// Longest time that a leaving entry waits for its open jobs.
+    pub drain_max: Duration,
+}
+
+/// A `DispatchEvent` is something that happened.
+#[derive(Clone, Debug)]
+pub enum DispatchEvent {
+    /// A caller asked.
+    Asked {
+        /// Who waits for the answer.
+        reply: ReplyId,
+        /// What is asked.
+        request: CallerRequest,
+    },
+    /// A caller went away before it was answered.
+    Withdrawn(ReplyId),
+    /// An agent sent a frame.
+    Frame {
+        /// The session.
+        session: SessionId,
+        /// The frame.
+        frame: RunFrame,
+    },
+    /// An agent's session ended.
+    SessionGone(SessionId),
+    /// The plan was read from the platform.
+    PlanRead(SitePlan),
+    /// The addresses of all entries were read from the platform.
+    EntriesRead(Vec<SmolStr>),
+    /// The process was asked to leave.
+    Drain,
+    /// Time passed.
+    Tick,
+}
+
+/// A `DispatchAction` is something to be done.
+#[derive(Clone, Debug)]
+pub enum DispatchAction {
+    /// Answers a caller.
+    Reply {
+        /// Who waits.
+        reply: ReplyId,
+        /// The answer.
+        answer: CallerAnswer,
+    },
+    /// Sends a frame to an agent.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// The frame.
+        frame: OrderFrame,
+    },
+    /// Ends a session.
+    Close(SessionId),
+    /// Writes a log line of key=value pairs.
+    Log(String),
+    /// The entry has drained and may exit.
+    Drained,
+}
+
+/// A `DispatchControl` is the whole control state of one entry. Feed it events; carry out the actions.
+#[derive(Debug)]
+pub struct DispatchControl {
+    now: MonoTime,
+    awake_at: MonoTime,
+    upkeep_at: MonoTime,
+    options: DispatchOptions,
+    plan: SitePlan,
+    entries: Vec<SmolStr>,
+    book: JobBook,
+    board: WorkerBoard,
+    times: RouteTimes,
+    orders: BTreeMap<SessionId, RunOrders>,
+    echoes: BTreeMap<SessionId, MonoTime>,
+    drain_since: Option<MonoTime>,
+    actions: Vec<DispatchAction>,
+}
+
+impl DispatchControl {
+    /// Returns the state of an entry that has just started.
+    pub fn new(options: DispatchOptions) -> Self {
+        Self {
+            now: MonoTime::ZERO,
+            awake_at: MonoTime::ZERO,
+            upkeep_at: MonoTime::ZERO,
+            options,
+            plan: SitePlan::default(),
+            entries: Vec::new(),
+            book: JobBook::default(),
+            board: WorkerBoard::default(),
+            times: RouteTimes::default(),
+            orders: BTreeMap::new(),
+            echoes: BTreeMap::new(),
+            drain_since: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event that happened at `now`; returns what is to be done, in order.
+    pub fn handle(&mut self, now: MonoTime, event: DispatchEvent) -> Vec<DispatchAction> {
+        if now.since(self.now) > STALL_MIN {
+            // This process did not run: what was not heard meanwhile says nothing of the agents.
+            self.awake_at = now;
+        }
+        self.now = self.now.max(now);
+        match event {
+            DispatchEvent::Asked { reply, request } => self.take_request(reply, request),
+            DispatchEvent::Withdrawn(reply) => {
+                let effects = self.book.withdraw(reply);
+                self.apply(effects);
+            }
+            DispatchEvent::Frame { session, frame } => self.take_frame(session, frame),
+            DispatchEvent::SessionGone(session) => self.lose_session(session, "broken"),
+            DispatchEvent::PlanRead(plan) => self.take_plan(&plan, "platform"),
+            DispatchEvent::EntriesRead(entries) => self.take_entries(entries),
+            DispatchEvent::Drain => self.start_drain(),
+            DispatchEvent::Tick => {}
+        }
+        if self.now >= self.upkeep_at {
+            self.upkeep_at = self.now + UPKEEP_PERIOD;
+            self.keep_up();
+        }
+        self.place();
+        self.flush_orders();
+        self.finish_drain();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the open jobs.
+    pub fn book(&self) -> &JobBook {
+        &self.book
+    }
+
+    /// Returns the workers.
+    pub fn board(&self) -> &WorkerBoard {
+        &self.board
+    }
+
+    /// Returns the plan in force here.
+    pub fn plan(&self) -> &SitePlan {
+        &self.plan
+    }
+
+    /// Returns whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        let has_workers = self.board.rooms().any(|room| room.session.is_some());
+        self.plan.table.is_some() && has_workers && self.drain_since.is_none()
+    }
+
+    /// Returns whether the process was asked to leave.
+    pub fn is_draining(&self) -> bool {
+        self.drain_since.is_some()
+    }
+
+    /// Returns the entry's whole state.
+    pub fn dump(&self) -> Value {
+        let jobs = self.book.jobs().map(|job| {
+            json!({
+                "job": job.job.id.to_string(),
+                "route": job.route.name,
+                "phase": format!("{:?}", job.phase()),
+                "arrived": job.arrived_at.to_string(),
+                "wanted": job.wanted_at.to_string(),
+                "runs": job.sent_runs().iter().map(|(run, agent)| format!("{run}@{agent}")).collect::<Vec<_>>(),
+            })
+        });
+        let workers = self.board.rooms().map(|room| {
+            json!({
+                "agent": room.agent,
+                "zone": room.zone,
+                "is_connected": room.session.is_some(),
+                "is_usable": room.is_usable(self.now),
+                "room_millicores": room.room().millicores,
+                "heard": room.heard_at.to_string(),
+            })
+        });
+        json!({
+            "zone": self.options.zone,
+            "now": self.now.to_string(),
+            "plan_version": self.plan.version(),
+            "zones_out": self.plan.zones_out,
+            "is_draining": self.is_draining(),
+            "entries": self.entries,
+            "workers": workers.collect::<Vec<_>>(),
+            "jobs": jobs.collect::<Vec<_>>(),
+        })
+    }
+
+    /// Does what depends on passing time alone.
+    fn keep_up(&mut self) {
+        self.close_silent_sessions();
+        self.give_up_dead_agents();
+        self.give_up_late_jobs();
+        self.book.forget_verdicts(self.now);
+        self.board.forget_lost(self.now, LOST_AGE_MAX);
+    }
+
+    fn log(&mut self, line: String) {
+        self.actions.push(DispatchAction::Log(line));
+    }
+
+    fn start_drain(&mut self) {
+        if self.drain_since.is_none() {
+            self.drain_since = Some(self.now);
+            self.log(format!("event=drain_started jobs={}", self.book.jobs().count()));
+        }
+    }
+
+    fn finish_drain(&mut self) {
+        let Some(since) = self.drain_since else {
+            return;
+        };
+        let waited = self.now.since(since);
+        let is_idle = self.book.jobs().next().is_none();
+        if (waited >= self.options.linger && is_idle) || waited >= self.options.drain_max {
+            self.log(format!("event=drained jobs_left={}", self.book.jobs().count()));
+            self.actions.push(DispatchAction::Drained);
+        }
+    }
+}
--- /dev/null
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -0,0 +1,152 @@
+//! Sessions with agents: reports, orders, the plan and losses.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_control::SessionId;
+use vanillacleat_core::caller_job::RunId;
+use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport};
+use vanillacleat_core::site_plan::SitePlan;
+use vanillacleat_core::units::Millis;
+
+use super::{DispatchAction, DispatchControl};
+
+/// Longest time that the renewal of a session's lease waits for orders to travel with.
+const ECHO_DELAY_MAX: Duration = Duration::from_millis(40);
+
+impl DispatchControl {
+    pub(super) fn take_frame(&mut self, session: SessionId, frame: RunFrame) {
+        match frame {
+            RunFrame::Hello(hello) => self.take_hello(session, &hello),
+            RunFrame::Report(report) => self.take_report(session, &report),
+            RunFrame::Plan(plan) => self.take_plan(&plan, "agent"),
+        }
+    }
+
+    fn take_hello(&mut self, session: SessionId, hello: &RunHello) {
+        let is_restarted = self.board.note_hello(self.now, session, hello);
+        self.log(format!(
+            "event=agent_found agent={} session={session} restarted={is_restarted} unsettled={} plan_version={}",
+            hello.agent,
+            hello.unsettled.len(),
+            hello.plan_version
+        ));
+        // What the agent does not list has ended: it stops everything when a session is lost.
+        let is_over = |run: &RunId| is_restarted || !hello.unsettled.contains(run);
+        let over: Vec<RunId> = self.book.runs_at(&hello.agent).into_iter().filter(is_over).collect();
+        over.into_iter().for_each(|run| self.settle_lost(&hello.agent, run));
+        if !self.entries.is_empty() {
+            self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Entries(self.entries.clone()) });
+        }
+        self.send_plan(session);
+    }
+
+    fn send_plan(&mut self, session: SessionId) {
+        if self.plan.table.is_some() {
+            let plan = Box::new(self.plan.clone());
+            self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Plan(plan) });
+        }
+    }
+
+    fn take_report(&mut self, session: SessionId, report: &RunReport) {
+        let Some(agent) = self.board.note_report(self.now, session, report) else {
+            return;
+        };
+        for end in &report.ends {
+            self.settle(&agent, end);
+        }
+        self.echoes.entry(session).or_insert(self.now);
+    }
+
+    fn settle(&mut self, agent: &AgentId, end: &RunEnd) {
+        self.note_run_time(end);
+        let Some(settled) = self.book.settle(self.now, agent, end) else {
+            return;
+        };
+        self.board.release(agent, settled.demand);
+        if !end.outcome.has_run() {
+            self.board.note_refusal(self.now, agent);
+        }
+        if end.outcome != RunOutcome::Done {
+            self.log(format!("event=run_back run={} agent={agent} outcome={:?} ran_ms={}", end.run, end.outcome, end.ran));
+        }
+        self.apply(settled.effects);
+    }
+
+    fn note_run_time(&mut self, end: &RunEnd) {
+        if end.outcome != RunOutcome::Done {
+            return;
+        }
+        if let Some(job) = self.book.get(&end.run.task.job) {
+            let estimate = job.job.steps.get(usize::from(end.run.task.step)).map(|step| step.estimate.to_duration());
+            self.times.note(&job.route.name, estimate.unwrap_or_default(), end.ran.to_duration());
+        }
+    }
+
+    fn settle_lost(&mut self, agent: &AgentId, run: RunId) {
+        self.settle(agent, &RunEnd { run, outcome: RunOutcome::Lost, ran: Millis(0) });
+    }
+
+    pub(super) fn lose_session(&mut self, session: SessionId, cause: &str) {
+        self.orders.remove(&session);
+        self.echoes.remove(&session);
+        if let Some(agent) = self.board.note_lost(self.now, session) {
+            let runs = self.book.runs_at(&agent).len();
+            self.log(format!("event=agent_lost agent={agent} session={session} cause={cause} runs={runs}"));
+        }
+    }
+
+    /// Ends sessions whose agents have been silent for longer than they let runs go on without this entry.
+    pub(super) fn close_silent_sessions(&mut self) {
+        let age = self.options.terms.session_lease + ECHO_DELAY_MAX;
+        for session in self.board.silent_sessions(self.now, self.awake_at, age) {
+            self.actions.push(DispatchAction::Close(session));
+            self.lose_session(session, "silent");
+        }
+    }
+
+    /// Takes back what was at agents that have been gone for longer than any lease.
+    pub(super) fn give_up_dead_agents(&mut self) {
+        for (agent, _) in self.board.dead_agents(self.now, self.options.terms.death_wait()) {
+            for run in self.book.runs_at(&agent) {
+                self.settle_lost(&agent, run);
+            }
+        }
+    }
+
+    pub(super) fn take_plan(&mut self, plan: &SitePlan, source: &str) {
+        if !self.plan.merge(plan) {
+            return;
+        }
+        let (version, zones, revision) = (self.plan.version(), self.plan.zones_out.len(), self.plan.zones_revision);
+        self.log(format!("event=plan_taken source={source} version={version} zones_out={zones} revision={revision}"));
+        let sessions: Vec<SessionId> = self.board.rooms().filter_map(|room| room.session).collect();
+        sessions.into_iter().for_each(|session| self.send_plan(session));
+    }
+
+    pub(super) fn take_entries(&mut self, entries: Vec<SmolStr>) {
+        if entries == self.entries {
+            return;
+        }
+        self.log(format!("event=entries_read entries={}", entries.len()));
+        self.entries = entries;
+        let sessions: Vec<SessionId> = self.board.rooms().filter_map(|room| room.session).collect();
+        for session in sessions {
+            self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Entries(self.entries.clone()) });
+        }
+    }
+
+    /// Sends the orders, and renews the leases of sessions whose reports have waited long enough.
+    pub(super) fn flush_orders(&mut self) {
+        let due = self.echoes.iter().filter(|(_, at)| self.now.since(**at) >= ECHO_DELAY_MAX).map(|(session, _)| *session);
+        for session in due.collect::<Vec<_>>() {
+            self.orders.entry(session).or_default();
+        }
+        for (session, mut orders) in std::mem::take(&mut self.orders) {
+            self.echoes.remove(&session);
+            orders.echo = self.board.nonce_of(session);
+            self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Orders(orders) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/runs/src/entry/job_entry.rs
@@ -0,0 +1,153 @@
+//! One open job: its tasks, who waits for it and when it is due.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use vanillacleat_control::ReplyId;
+use vanillacleat_core::caller_job::{CallerJob, RunId, TaskId};
+use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::site_plan::RouteRule;
+use vanillacleat_core::units::MonoTime;
+
+use super::caller_calls::JobPhase;
+
+/// Where a task stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SlotState {
+    /// Waits for a worker, or for earlier steps.
+    Waiting,
+    /// Sent to an agent.
+    Sent {
+        /// The agent.
+        agent: AgentId,
+        /// When it was sent.
+        at: MonoTime,
+        /// Whether a stop was sent after it.
+        is_stopping: bool,
+    },
+    /// Done.
+    Done,
+}
+
+/// A `TaskSlot` is one task of an open job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskSlot {
+    /// Where it stands.
+    pub state: SlotState,
+    /// Starts so far; the number of the last run.
+    pub runs: u32,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Workers that it should not run on again.
+    pub avoided: Vec<AgentId>,
+}
+
+/// A `JobEntry` is an open job.
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// The job.
+    pub job: Arc<CallerJob>,
+    /// The route it came by.
+    pub route: Arc<RouteRule>,
+    /// When it came.
+    pub arrived_at: MonoTime,
+    /// When its answer is wanted.
+    pub wanted_at: MonoTime,
+    /// When nobody waits for it any more.
+    pub give_up_at: MonoTime,
+    /// Who waits for the answer; nobody while the job is being wound down.
+    pub waiters: Vec<ReplyId>,
+    /// The tasks of each step.
+    pub steps: Vec<Vec<TaskSlot>>,
+    /// Whether a task of it may have run.
+    pub has_run: bool,
+    /// The answer, once it is decided and tasks are still being stopped.
+    pub verdict: Option<JobPhase>,
+    /// Whether it is given up and only waits for its runs to be stopped.
+    pub is_winding_down: bool,
+    /// The worker that its last task went to.
+    pub last_agent: Option<AgentId>,
+}
+
+impl JobEntry {
+    /// Returns a job of which nothing has run.
+    pub fn new(job: Arc<CallerJob>, route: Arc<RouteRule>, now: MonoTime, wanted_in: Duration, patience: Duration) -> Self {
+        let slot = TaskSlot { state: SlotState::Waiting, runs: 0, failures: 0, avoided: Vec::new() };
+        let steps = job.steps.iter().map(|step| vec![slot.clone(); usize::from(step.count)]).collect();
+        Self {
+            job,
+            route,
+            arrived_at: now,
+            wanted_at: now + wanted_in,
+            give_up_at: now + patience,
+            waiters: Vec::new(),
+            steps,
+            has_run: false,
+            verdict: None,
+            is_winding_down: false,
+            last_agent: None,
+        }
+    }
+
+    /// Returns a task's slot.
+    pub fn slot_mut(&mut self, task: &TaskId) -> Option<&mut TaskSlot> {
+        self.steps.get_mut(usize::from(task.step))?.get_mut(usize::from(task.index))
+    }
+
+    /// Returns whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.slots().all(|slot| slot.state == SlotState::Done)
+    }
+
+    /// Returns whether a task is at an agent.
+    pub fn has_sent(&self) -> bool {
+        self.slots().any(|slot| matches!(slot.state, SlotState::Sent { .. }))
+    }
+
+    /// Returns whether somebody waits for the job and it is not decided.
+    pub fn is_live(&self) -> bool {
+        !self.is_winding_down && self.verdict.is_none() && !self.waiters.is_empty()
+    }
+
+    /// Returns whether the tasks of a step may start.
+    pub fn is_step_ready(&self, step: usize) -> bool {
+        let is_done = |earlier: &u16| self.steps[usize::from(*earlier)].iter().all(|slot| slot.state == SlotState::Done);
+        self.job.steps[step].after.iter().all(is_done)
+    }
+
+    /// Returns the tasks that wait for nothing but a worker.
+    pub fn ready_tasks(&self) -> Vec<TaskId> {
+        let steps = (0..self.steps.len()).filter(|step| self.is_step_ready(*step));
+        let tasks = steps.flat_map(|step| {
+            let waiting = self.steps[step].iter().enumerate().filter(|(_, slot)| slot.state == SlotState::Waiting);
+            waiting.map(move |(index, _)| TaskId { job: self.job.id, step: step as u16, index: index as u16 })
+        });
+        tasks.collect()
+    }
+
+    /// Returns the runs at agents, with their agents.
+    pub fn sent_runs(&self) -> Vec<(RunId, AgentId)> {
+        let slots = self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
+        let sent = slots.filter_map(|(step, index, slot)| match &slot.state {
+            SlotState::Sent { agent, .. } => {
+                let task = TaskId { job: self.job.id, step: step as u16, index: index as u16 };
+                Some((RunId { task, run: slot.runs }, agent.clone()))
+            }
+            SlotState::Waiting | SlotState::Done => None,
+        });
+        sent.collect()
+    }
+
+    /// Returns what callers are told of the job.
+    pub fn phase(&self) -> JobPhase {
+        match self.verdict {
+            Some(verdict) => verdict,
+            None if self.has_run || self.has_sent() => JobPhase::Running,
+            None => JobPhase::Queued,
+        }
+    }
+
+    fn slots(&self) -> impl Iterator<Item = &TaskSlot> {
+        self.steps.iter().flatten()
+    }
+}
--- /dev/null
+++ b/crates/runs/src/entry/mod.rs
@@ -0,0 +1,17 @@
+//! The whole control state of an entry that holds jobs under their callers' names.
+
+mod caller_calls;
+mod dispatch;
+mod job_book;
+mod job_entry;
+mod run_times;
+mod worker_board;
+mod worker_room;
+
+pub use caller_calls::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
+pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions};
+pub use job_book::{JobBook, JobEffect};
+pub use job_entry::{JobEntry, TaskSlot};
+pub use run_times::RouteTimes;
+pub use worker_board::{RoomRequest, WorkerBoard};
+pub use worker_room::WorkerRoom;
--- /dev/null
+++ b/crates/runs/src/entry/worker_board.rs
@@ -0,0 +1,164 @@
+//! The workers an entry knows, and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_control::SessionId;
+use vanillacleat_core::caller_job::ResourceAmount;
+use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
+use vanillacleat_core::run_frames::{RunHello, RunReport};
+use vanillacleat_core::units::MonoTime;
+
+use super::worker_room::WorkerRoom;
+
+/// A `RoomRequest` is a task that needs a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomRequest<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// What the task occupies.
+    pub demand: &'a ResourceAmount,
+    /// A label that the worker must have.
+    pub required_label: Option<&'a SmolStr>,
+    /// The rack near the task's data.
+    pub preferred_rack: Option<&'a SmolStr>,
+    /// Workers on which the task failed.
+    pub avoided: &'a [AgentId],
+}
+
+/// A `WorkerBoard` is what one entry knows of the workers. Only sessions tell it who is there.
+#[derive(Debug, Default)]
+pub struct WorkerBoard {
+    rooms: BTreeMap<AgentId, WorkerRoom>,
+    by_session: BTreeMap<SessionId, AgentId>,
+}
+
+impl WorkerBoard {
+    /// Takes an agent's hello; returns whether it is another run of a known agent.
+    pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &RunHello) -> bool {
+        self.by_session.insert(session, hello.agent.clone());
+        let mut room = WorkerRoom::new(now, session, hello);
+        let earlier = self.rooms.get(&hello.agent);
+        let is_restarted = earlier.is_some_and(|earlier| earlier.incarnation != hello.incarnation);
+        if let Some(earlier) = earlier {
+            room.own = earlier.own;
+        }
+        self.rooms.insert(hello.agent.clone(), room);
+        is_restarted
+    }
+
+    /// Takes a report; returns the agent it came from.
+    pub fn note_report(&mut self, now: MonoTime, session: SessionId, report: &RunReport) -> Option<AgentId> {
+        let agent = self.by_session.get(&session)?;
+        let room = self.rooms.get_mut(agent).filter(|room| room.session == Some(session))?;
+        room.note_report(now, report);
+        Some(agent.clone())
+    }
+
+    /// Notes that a session broke.
+    pub fn note_lost(&mut self, now: MonoTime, session: SessionId) -> Option<AgentId> {
+        let agent = self.by_session.remove(&session)?;
+        let room = self.rooms.get_mut(&agent).filter(|room| room.session == Some(session))?;
+        room.session = None;
+        room.lost_at = Some(now);
+        Some(agent)
+    }
+
+    /// Notes that a start was sent to an agent.
+    pub fn occupy(&mut self, agent: &AgentId, demand: ResourceAmount) {
+        if let Some(room) = self.rooms.get_mut(agent) {
+            room.own += demand;
+        }
+    }
+
+    /// Notes that a run at an agent has ended.
+    pub fn release(&mut self, agent: &AgentId, demand: ResourceAmount) {
+        if let Some(room) = self.rooms.get_mut(agent) {
+            room.own -= demand;
+        }
+    }
+
+    /// Holds starts back for a moment from an agent that refused one.
+    pub fn note_refusal(&mut self, now: MonoTime, agent: &AgentId) {
+        if let Some(room) = self.rooms.get_mut(agent) {
+            room.note_refusal(now);
+        }
+    }
+
+    /// Returns the worker of an agent.
+    pub fn get(&self, agent: &AgentId) -> Option<&WorkerRoom> {
+        self.rooms.get(agent)
+    }
+
+    /// Returns the nonce of the last report on a session, or zero before the first.
+    pub fn nonce_of(&self, session: SessionId) -> u64 {
+        let room = self.by_session.get(&session).and_then(|agent| self.rooms.get(agent));
+        room.filter(|room| room.session == Some(session)).map_or(0, |room| room.nonce)
+    }
+
+    /// Returns the workers in order of their agents' names.
+    pub fn rooms(&self) -> impl Iterator<Item = &WorkerRoom> {
+        self.rooms.values()
+    }
+
+    /// Returns the sessions whose agents have been silent for `age`.
+    pub fn silent_sessions(&self, now: MonoTime, awake_at: MonoTime, age: Duration) -> Vec<SessionId> {
+        let is_silent = |room: &&WorkerRoom| now.since(room.heard_at.max(awake_at)) >= age;
+        self.rooms.values().filter(is_silent).filter_map(|room| room.session).collect()
+    }
+
+    /// Returns the agents that were lost, with nothing of theirs at work after `wait`.
+    pub fn dead_agents(&self, now: MonoTime, wait: Duration) -> Vec<(AgentId, Incarnation)> {
+        let is_dead = |room: &&WorkerRoom| room.session.is_none() && now.since(room.heard_at) >= wait;
+        self.rooms.values().filter(is_dead).map(|room| (room.agent.clone(), room.incarnation)).collect()
+    }
+
+    /// Forgets agents that have been lost for `age`.
+    pub fn forget_lost(&mut self, now: MonoTime, age: Duration) {
+        self.rooms.retain(|_, room| room.lost_at.is_none_or(|at| room.session.is_some() || now.since(at) < age));
+    }
+
+    /// Returns the worker for a task, or nothing while none has room. The preferred one is the last that a task of the
+    /// same job went to: a job that touches few workers is hit by few bad ones. Then the nearer zone goes first, so
+    /// that entries that don't see each other's starts choose from different workers, then the larger room.
+    pub fn choose(
+        &self,
+        now: MonoTime,
+        zone: &ZoneName,
+        zones_out: &BTreeSet<ZoneName>,
+        request: &RoomRequest<'_>,
+        last: Option<&AgentId>,
+    ) -> Option<&AgentId> {
+        let candidates = self.rooms.values().filter(|room| is_candidate(now, zones_out, request, room));
+        let best = candidates.min_by_key(|room| {
+            let is_far = request.preferred_rack.is_some_and(|rack| !has_label(room, rack));
+            let millicores = room.room().millicores;
+            (is_far, last != Some(&room.agent), room.zone != *zone, u64::MAX - millicores)
+        });
+        best.map(|room| &room.agent)
+    }
+
+    /// Returns whether some worker of the service could ever hold a task.
+    pub fn could_hold(&self, service: &ServiceName, demand: &ResourceAmount) -> bool {
+        let workers = self.rooms.values().filter_map(|room| room.worker.as_ref());
+        let mut serving = workers.filter(|worker| worker.service == *service);
+        serving.any(|worker| demand.fits(&worker.capacity))
+    }
+}
+
+fn is_candidate(now: MonoTime, zones_out: &BTreeSet<ZoneName>, request: &RoomRequest<'_>, room: &WorkerRoom) -> bool {
+    let Some(worker) = &room.worker else {
+        return false;
+    };
+    room.is_usable(now)
+        && worker.service == *request.service
+        && request.demand.fits(&room.room())
+        && !zones_out.contains(&room.zone)
+        && request.required_label.is_none_or(|label| has_label(room, label))
+        && !request.avoided.contains(&room.agent)
+}
+
+fn has_label(room: &WorkerRoom, label: &SmolStr) -> bool {
+    room.worker.as_ref().is_some_and(|worker| worker.labels.contains(label))
+}
--- /dev/null
+++ b/crates/runs/src/entry/worker_room.rs
@@ -0,0 +1,90 @@
+//! One worker as an entry sees it through its agent.
+
+use std::time::Duration;
+
+use vanillacleat_control::SessionId;
+use vanillacleat_core::caller_job::ResourceAmount;
+use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
+use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerOffer};
+use vanillacleat_core::units::MonoTime;
+
+/// Pause in placing after the worker's agent refused a start.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
+
+/// A `WorkerRoom` is a worker with the room that it has for this entry.
+#[derive(Clone, Debug)]
+pub struct WorkerRoom {
+    /// The agent.
+    pub agent: AgentId,
+    /// The agent's run.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The session; absent while it is broken.
+    pub session: Option<SessionId>,
+    /// The worker; absent while it is unknown.
+    pub worker: Option<WorkerOffer>,
+    /// Whether the agent takes starts.
+    pub is_closed: bool,
+    /// What the worker has taken for other entries, as last reported.
+    pub others: ResourceAmount,
+    /// What this entry has sent there and not heard the end of.
+    pub own: ResourceAmount,
+    /// When the last report came.
+    pub heard_at: MonoTime,
+    /// Nonce of the last report.
+    pub nonce: u64,
+    /// When the session broke.
+    pub lost_at: Option<MonoTime>,
+    /// Version of the plan that the agent is known to hold.
+    pub plan_version: u64,
+    paused_until: MonoTime,
+}
+
+impl WorkerRoom {
+    pub(super) fn new(now: MonoTime, session: SessionId, hello: &RunHello) -> Self {
+        Self {
+            agent: hello.agent.clone(),
+            incarnation: hello.incarnation,
+            zone: hello.zone.clone(),
+            session: Some(session),
+            worker: None,
+            is_closed: true,
+            others: ResourceAmount::default(),
+            own: ResourceAmount::default(),
+            heard_at: now,
+            nonce: 0,
+            lost_at: None,
+            plan_version: hello.plan_version,
+            paused_until: MonoTime::ZERO,
+        }
+    }
+
+    /// Takes what a report says of the worker.
+    pub(super) fn note_report(&mut self, now: MonoTime, report: &RunReport) {
+        self.heard_at = now;
+        self.nonce = report.nonce;
+        self.is_closed = report.is_closed;
+        self.others = report.used.less(&report.used_by_you);
+        if report.worker.is_some() {
+            self.worker.clone_from(&report.worker);
+        }
+    }
+
+    /// Holds starts back for a moment after a refusal.
+    pub(super) fn note_refusal(&mut self, now: MonoTime) {
+        self.paused_until = now + REFUSAL_PAUSE;
+    }
+
+    /// Returns the room for this entry, as far as is known.
+    pub fn room(&self) -> ResourceAmount {
+        let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
+        capacity.less(&(self.others + self.own))
+    }
+
+    /// Returns whether starts may be sent there at `now`.
+    pub fn is_usable(&self, now: MonoTime) -> bool {
+        let is_ready = self.worker.as_ref().is_some_and(|worker| worker.is_ready);
+        self.session.is_some() && is_ready && !self.is_closed && now >= self.paused_until
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,12 +9,14 @@
 mod codec;
 mod errors;
 mod server;
+mod session;
 mod streams;
 
 pub use client::WireConnection;
 pub use codec::{decode_body, encode_frame, FrameBuffer, FRAME_BYTES_MAX};
 pub use errors::WireError;
 pub use server::{accept_streams, CallStream, IncomingStream, SessionStream};
+pub use session::{carry_session, make_queue, SessionQueue, UnsentFrames};
 pub use streams::{FrameReceiver, FrameSender};
 
 /// Path of the stream that carries a session.
