--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::runtime::Handle;
 use vanillacleat_control::agent::{AgentControl, AgentEvent, AgentOptions};
 use vanillacleat_core::ids::{Incarnation, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
@@ -43,6 +44,11 @@
         Ok(Self { http_address: settings.http_listen, process })
     }
 
+    /// Returns the traffic threads.
+    pub fn traffic(&self) -> Handle {
+        self.process.runtime().handle()
+    }
+
     /// Returns the hold on the control thread, for experiments.
     pub fn pause(&self) -> ThreadPause {
         self.process.pause()
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -4,10 +4,10 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 use vanillacleat_agent::AgentDaemon;
 use vanillacleat_core::settings::AgentSettings;
-use vanillacleat_daemon::{init_logging, load_settings, DaemonError};
+use vanillacleat_daemon::{follow_reloads, init_logging, load_settings, DaemonError, ReloadFlag};
 
 /// Runs the agent beside an upstream.
 #[derive(Clone, Debug, Bpaf)]
@@ -19,8 +19,12 @@
 }
 
 fn run(command: &AgentCommand) -> Result<(), Report<DaemonError>> {
+    let reload = ReloadFlag::install().change_context(DaemonError::Start)?;
     let settings = load_settings(&command.settings, AgentSettings::check)?;
-    AgentDaemon::start(&settings)?.run()
+    let daemon = AgentDaemon::start(&settings)?;
+    let reloads = follow_reloads(reload, command.settings.clone(), settings, AgentSettings::check, |_| Vec::new());
+    daemon.traffic().spawn(reloads);
+    daemon.run()
 }
 
 fn main() -> ExitCode {
--- a/crates/core/src/site_plan.rs
+++ b/crates/core/src/site_plan.rs
@@ -10,8 +10,7 @@
 use crate::units::{Millis, Revision};
 
 /// A `RouteRule` is one queue that callers submit jobs to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// The route's name.
     pub name: SmolStr,
@@ -34,8 +33,7 @@
 }
 
 /// A `RouteTable` is one version of the routes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// The operators' version; higher ones replace lower ones.
     pub version: Revision,
@@ -55,8 +53,7 @@
 }
 
 /// A `SitePlan` is everything that the operators want, as far as one process knows.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SitePlan {
     /// The routes; absent until the first version was read.
     pub table: Option<Arc<RouteTable>>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod process_handle;
 mod process_runtime;
 mod settings_file;
+mod settings_reload;
 mod signals;
 
 pub use control_thread::{spawn_control, ControlStep, EventSender, ThreadPause};
@@ -18,4 +19,5 @@
 pub use process_handle::{EventOutlet, ProcessHandle};
 pub use process_runtime::ProcessRuntime;
 pub use settings_file::{load_settings, parse_settings, DaemonError};
+pub use settings_reload::{find_changes, follow_reloads, ReloadFlag, SettingChange};
 pub use signals::wait_for_stop;
--- /dev/null
+++ b/crates/daemon/src/settings_reload.rs
@@ -0,0 +1,104 @@
+//! Reloads of the settings file on SIGHUP. What can't change while the process runs is kept and said so in the log.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use signal_hook::consts::SIGHUP;
+use vanillacleat_core::errors::Result as CheckResult;
+
+use crate::settings_file::load_settings;
+
+/// Time between two looks at the flag that the signal sets.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+
+/// A `ReloadFlag` is set by SIGHUP, which no longer ends the process once the flag is installed.
+#[derive(Clone, Debug)]
+pub struct ReloadFlag {
+    is_set: Arc<AtomicBool>,
+}
+
+impl ReloadFlag {
+    /// Installs the flag. Call it before anything that takes time.
+    pub fn install() -> std::io::Result<Self> {
+        let is_set = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(SIGHUP, is_set.clone())?;
+        Ok(Self { is_set })
+    }
+
+    /// Returns whether the signal came since the last call.
+    pub fn take(&self) -> bool {
+        self.is_set.swap(false, Ordering::Relaxed)
+    }
+}
+
+/// A `SettingChange` is one key whose value differs between two settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingChange {
+    /// The key, dotted from the root of the file.
+    pub key: String,
+    /// The value before; absent if there was none.
+    pub before: Option<toml::Value>,
+    /// The value now; absent if there is none.
+    pub now: Option<toml::Value>,
+}
+
+/// Returns the keys whose values differ, in order.
+pub fn find_changes<T: Serialize>(before: &T, now: &T) -> Vec<SettingChange> {
+    let to_value = |settings: &T| toml::Value::try_from(settings).ok();
+    let mut changes = Vec::new();
+    collect_changes("", to_value(before), to_value(now), &mut changes);
+    changes
+}
+
+fn collect_changes(key: &str, before: Option<toml::Value>, now: Option<toml::Value>, changes: &mut Vec<SettingChange>) {
+    if before == now {
+        return;
+    }
+    if let (Some(toml::Value::Table(before)), Some(toml::Value::Table(now))) = (&before, &now) {
+        let mut names: Vec<&String> = before.keys().chain(now.keys()).collect();
+        names.sort();
+        names.dedup();
+        for name in names {
+            let inner = if key.is_empty() { name.clone() } else { format!("{key}.{name}") };
+            collect_changes(&inner, before.get(name).cloned(), now.get(name).cloned(), changes);
+        }
+        return;
+    }
+    changes.push(SettingChange { key: key.to_owned(), before, now });
+}
+
+/// Reads the settings again whenever the flag is set and hands readable ones to `apply`, which returns the keys that
+/// took effect. Unreadable ones change nothing.
+pub async fn follow_reloads<T: Serialize + DeserializeOwned>(
+    flag: ReloadFlag,
+    path: PathBuf,
+    mut current: T,
+    check: fn(&T) -> CheckResult<()>,
+    apply: impl Fn(&T) -> Vec<&'static str>,
+) {
+    loop {
+        tokio::time::sleep(LOOK_PERIOD).await;
+        if !flag.take() {
+            continue;
+        }
+        let settings = match load_settings(&path, check) {
+            Ok(settings) => settings,
+            Err(report) => {
+                log::error!("event=reload_failed file={} cause={report:?}", path.display());
+                continue;
+            }
+        };
+        let changes = find_changes(&current, &settings);
+        log::info!("event=reload file={} changes={}", path.display(), changes.len());
+        let applied = apply(&settings);
+        for SettingChange { key, before, now } in changes {
+            let is_applied = applied.iter().any(|prefix| key.starts_with(prefix));
+            log::info!("event=setting_changed key={key} before={before:?} now={now:?} applied={is_applied}");
+        }
+        current = settings;
+    }
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::runtime::Handle;
 use vanillacleat_control::entry::{EntryControl, EntryEvent, EntryOptions};
 use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::settings::EntrySettings;
@@ -55,6 +56,11 @@
         Ok(Self { http_address, mesh_address, process })
     }
 
+    /// Returns the traffic threads.
+    pub fn traffic(&self) -> Handle {
+        self.process.runtime().handle()
+    }
+
     /// Returns the hold on the control thread, for experiments.
     pub fn pause(&self) -> ThreadPause {
         self.process.pause()
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 use vanillacleat_core::settings::EntrySettings;
-use vanillacleat_daemon::{init_logging, load_settings, DaemonError};
+use vanillacleat_daemon::{follow_reloads, init_logging, load_settings, DaemonError, ReloadFlag};
 use vanillacleat_entry::EntryDaemon;
 
 /// Runs an entry.
@@ -19,8 +19,12 @@
 }
 
 fn run(command: &EntryCommand) -> Result<(), Report<DaemonError>> {
+    let reload = ReloadFlag::install().change_context(DaemonError::Start)?;
     let settings = load_settings(&command.settings, EntrySettings::check)?;
-    EntryDaemon::start(&settings)?.run()
+    let daemon = EntryDaemon::start(&settings)?;
+    let reloads = follow_reloads(reload, command.settings.clone(), settings, EntrySettings::check, |_| Vec::new());
+    daemon.traffic().spawn(reloads);
+    daemon.run()
 }
 
 fn main() -> ExitCode {
--- a/crates/runs-daemon/src/run_settings.rs
+++ b/crates/runs-daemon/src/run_settings.rs
@@ -12,8 +12,7 @@
 const EXIT_RESERVE: u64 = 700;
 
 /// `LeaseSettings` say how long workers and callers wait.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseSettings {
     /// Shortest time after which a caller submits a job again that broke off, in milliseconds.
@@ -53,8 +52,7 @@
 }
 
 /// `RunsEntrySettings` are the settings of an entry.
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RunsEntrySettings {
     /// The entry's stable name.
@@ -69,8 +67,7 @@
 }
 
 /// `RunsAgentSettings` are the settings of an agent.
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RunsAgentSettings {
     /// The agent's stable name.
--- a/crates/runs/src/agent/run_book.rs
+++ b/crates/runs/src/agent/run_book.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{ResourceAmount, RunId};
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_control::SessionId;
 
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -236,7 +236,12 @@
         let Some(life) = self.life.take() else {
             return;
         };
-        self.log(format!("event=worker_lost worker={} born={} cause={cause} runs={}", life.notice.worker, life.notice.born, self.book.len()));
+        self.log(format!(
+            "event=worker_lost worker={} born={} cause={cause} runs={}",
+            life.notice.worker,
+            life.notice.born,
+            self.book.len()
+        ));
         self.life_number += 1;
         self.end_runs(RunOutcome::Lost);
     }
@@ -312,4 +317,3 @@
         }
     }
 }
-
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -25,6 +25,8 @@
 const UPKEEP_PERIOD: Duration = Duration::from_millis(10);
 /// Time between two events from which this process counts as having been stalled.
 const STALL_MIN: Duration = Duration::from_millis(300);
+/// Time given to the last answers of a leaving entry to reach their callers.
+const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// Time for which lost agents are remembered.
 const LOST_AGE_MAX: Duration = Duration::from_secs(60);
 
@@ -112,6 +114,7 @@
     orders: BTreeMap<SessionId, RunOrders>,
     echoes: BTreeMap<SessionId, MonoTime>,
     drain_since: Option<MonoTime>,
+    idle_since: Option<MonoTime>,
     actions: Vec<DispatchAction>,
 }
 
@@ -131,6 +134,7 @@
             orders: BTreeMap::new(),
             echoes: BTreeMap::new(),
             drain_since: None,
+            idle_since: None,
             actions: Vec::new(),
         }
     }
@@ -245,13 +249,23 @@
         }
     }
 
+    /// Returns whether new jobs are refused since the process is about to end.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.drain_since.is_some_and(|since| self.now.since(since) >= self.options.linger)
+    }
+
     fn finish_drain(&mut self) {
         let Some(since) = self.drain_since else {
             return;
         };
         let waited = self.now.since(since);
-        let is_idle = self.book.jobs().next().is_none();
-        if (waited >= self.options.linger && is_idle) || waited >= self.options.drain_max {
+        let is_idle = self.is_leaving() && self.book.jobs().next().is_none();
+        let idle_since = *self.idle_since.get_or_insert(self.now);
+        if !is_idle {
+            self.idle_since = None;
+        }
+        let is_flushed = is_idle && self.now.since(idle_since) >= FLUSH_TIME;
+        if is_flushed || waited >= self.options.drain_max {
             self.log(format!("event=drained jobs_left={}", self.book.jobs().count()));
             self.actions.push(DispatchAction::Drained);
         }
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -31,16 +31,22 @@
             (RequestKind::Query, PathTarget::Queue) => self.answer_queue(reply, route),
             (RequestKind::Query, PathTarget::Job(id)) => self.answer_query(reply, &id),
             (RequestKind::Cancel, PathTarget::Job(id)) => self.cancel(reply, &id),
-            (RequestKind::Submit(_), _) => self.reply(reply, CallerAnswer::Malformed("the path names no job: 16 hexadecimal digits".into())),
+            (RequestKind::Submit(_), _) => {
+                self.reply(reply, CallerAnswer::Malformed("the path names no job: 16 hexadecimal digits".into()))
+            }
             (_, _) => self.reply(reply, CallerAnswer::UnknownJob),
         }
     }
 
-    fn take_submission(&mut self, reply: ReplyId, id: CallerJobId, route: &Arc<RouteRule>, draft: JobDraft, patience: Option<Duration>) {
+    fn take_submission(&mut self, reply: ReplyId, id: CallerJobId, route: &Arc<RouteRule>, draft: JobDraft, caller: Option<Duration>) {
         if let Some(verdict) = self.book.verdict(&id) {
             self.log(format!("event=job_repeated job={id} verdict={verdict:?}"));
             return self.reply(reply, CallerAnswer::Ended(verdict));
         }
+        if self.is_leaving() && self.book.get(&id).is_none() {
+            self.log(format!("event=job_refused job={id} reason=leaving"));
+            return self.refuse(reply, "the entry is leaving", RETRY_UNREADY);
+        }
         if let Some(unserved) = draft.unserved {
             self.log(format!("event=job_refused job={id} reason={unserved:?}"));
             return self.refuse(reply, unserved, RETRY_UNSERVED);
@@ -53,9 +59,10 @@
         if let Some(problem) = job.find_problem() {
             return self.reply(reply, CallerAnswer::Malformed(problem.into()));
         }
-        let timeout = route.timeout.to_duration();
-        let patience = patience.map_or(timeout, |patience| patience.min(timeout));
-        let entry = JobEntry::new(Arc::new(job.clone()), route.clone(), self.now, self.find_objective(&job, route), patience);
+        let objective = self.find_objective(&job, route);
+        // The route's timeout bounds the wait for a start; how long the answer may take is the caller's to say.
+        let patience = caller.unwrap_or(route.timeout.to_duration() + objective);
+        let entry = JobEntry::new(Arc::new(job), route.clone(), self.now, objective, patience);
         self.log(format!(
             "event=job_admitted job={id} route={} version={} tasks={} wanted_ms={} patience_ms={}",
             route.name,
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -99,8 +99,7 @@
             let has_started = job.has_run || job.has_sent();
             let waited = self.now.since(job.arrived_at);
             self.log(format!("event=job_late job={id} waited_ms={} started={has_started}", waited.as_millis()));
-            let effects =
-                if has_started { self.book.abandon(&id) } else { self.book.refuse(&id, "there is no room in time", RETRY_LOAD) };
+            let effects = if has_started { self.book.abandon(&id) } else { self.book.refuse(&id, "there is no room in time", RETRY_LOAD) };
             self.apply(effects);
         }
     }
--- a/crates/runs/src/entry/job_entry.rs
+++ b/crates/runs/src/entry/job_entry.rs
@@ -127,7 +127,8 @@
 
     /// Returns the runs at agents, with their agents.
     pub fn sent_runs(&self) -> Vec<(RunId, AgentId)> {
-        let slots = self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
+        let slots =
+            self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
         let sent = slots.filter_map(|(step, index, slot)| match &slot.state {
             SlotState::Sent { agent, .. } => {
                 let task = TaskId { job: self.job.id, step: step as u16, index: index as u16 };
