--- a/crates/control/src/agent/dialer.rs
+++ b/crates/control/src/agent/dialer.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use vanillacleat_core::units::MonoTime;
 
-/// Wait before the first try after a failure.
+/// Wait before the first try after a failure, where the embedder names none.
 const REDIAL_MIN: Duration = Duration::from_millis(200);
 /// Longest wait between tries, where the embedder names none.
 const REDIAL_MAX: Duration = Duration::from_secs(5);
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct EntryDialer {
     entries: BTreeMap<SmolStr, DialState>,
+    redial_min: Duration,
     redial_max: Duration,
 }
 
@@ -36,12 +37,12 @@
     /// Returns a dialer that knows the seeds.
     pub fn new(seeds: Vec<SmolStr>) -> Self {
         let states = seeds.into_iter().map(|seed| (seed, DialState { is_seed: true, is_up: false, failures: 0, next_at: MonoTime::ZERO }));
-        Self { entries: states.collect(), redial_max: REDIAL_MAX }
+        Self { entries: states.collect(), redial_min: REDIAL_MIN, redial_max: REDIAL_MAX }
     }
 
-    /// Returns the dialer with another longest wait between tries.
-    pub fn with_redial_max(self, redial_max: Duration) -> Self {
-        Self { redial_max, ..self }
+    /// Returns the dialer with other waits between tries.
+    pub fn with_redial(self, redial_min: Duration, redial_max: Duration) -> Self {
+        Self { redial_min, redial_max, ..self }
     }
 
     /// Takes the address of an entry; a known one is left as it is.
@@ -64,7 +65,7 @@
         };
         state.is_up = false;
         state.failures += 1;
-        let wait = (REDIAL_MIN * 2_u32.pow(state.failures.min(6) - 1)).min(self.redial_max);
+        let wait = (self.redial_min * 2_u32.pow(state.failures.min(6) - 1)).min(self.redial_max);
         state.next_at = now + wait.mul_f64(rng.random_range(0.5..1.0));
         if state.failures > FAILURES_MAX && !state.is_seed {
             self.entries.remove(address);
--- a/crates/runs/src/agent/calls.rs
+++ b/crates/runs/src/agent/calls.rs
@@ -44,6 +44,13 @@
     Hold(HoldReply),
 }
 
+impl WorkerReply {
+    /// Returns whether the worker answered at all.
+    pub fn is_answer(&self) -> bool {
+        !matches!(self, Self::Start(_, StartReply::Unanswered) | Self::Stop(_, StopReply::Unanswered) | Self::Hold(HoldReply::Unanswered))
+    }
+}
+
 /// What came of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartReply {
--- a/crates/runs/src/agent/run_book.rs
+++ b/crates/runs/src/agent/run_book.rs
@@ -6,7 +6,8 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{ResourceAmount, RunId};
-use vanillacleat_core::units::MonoTime;
+use vanillacleat_core::run_frames::RunProgress;
+use vanillacleat_core::units::{Millis, MonoTime};
 
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,8 +18,10 @@
     Starting,
     /// At work.
     Running {
-        /// Share of the work done, in percent.
+        /// Share of the work done when the worker last listed it, in percent.
         percent: u8,
+        /// When the worker last listed it.
+        listed_at: MonoTime,
     },
     /// To be stopped.
     Stopping {
@@ -106,6 +109,19 @@
         own.fold(ResourceAmount::default(), |sum, record| sum + record.demand)
     }
 
+    /// Returns how far the runs of one session have come.
+    pub fn progress_of(&self, owner: SessionId) -> Vec<RunProgress> {
+        let own = self.runs.iter().filter(|(_, record)| record.owner == Some(owner));
+        let progress = own.filter_map(|(run, record)| match record.state {
+            RunState::Running { percent, listed_at } => {
+                let elapsed = Millis::from_duration(listed_at.since(record.called_at));
+                Some(RunProgress { run: *run, percent, elapsed })
+            }
+            RunState::Queued | RunState::Starting | RunState::Stopping { .. } => None,
+        });
+        progress.collect()
+    }
+
     /// Returns what the runs occupy that were given to the worker.
     pub fn occupied(&self) -> ResourceAmount {
         let given = self.runs.values().filter(|record| record.state != RunState::Queued);
@@ -141,6 +157,21 @@
         false
     }
 
+    /// Returns whether the run can't be at work in a later life of the worker: it never left the agent, or the life that
+    /// has ended had listed it.
+    pub fn is_surely_of_life(&self) -> bool {
+        match self.state {
+            RunState::Queued => true,
+            RunState::Running { listed_at, .. } => listed_at > self.called_at,
+            RunState::Starting | RunState::Stopping { .. } => false,
+        }
+    }
+
+    /// Asks for the run to be stopped by the worker's next life, whatever the last one said.
+    pub fn stop_again(&mut self, now: MonoTime) {
+        self.state = RunState::Stopping { call_at: Some(now), taken_at: None, is_unanswered: true };
+    }
+
     /// Returns the time since the start was called.
     pub fn ran(&self, now: MonoTime) -> Duration {
         now.since(self.called_at)
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -19,12 +19,13 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::calls::{WorkerCall, WorkerReply};
-use super::run_book::{RunBook, RunState};
+use super::run_book::{RunBook, RunRecord, RunState};
 use super::session_lease::SessionLease;
 use super::worker_life::{WorkerLife, WorkerNotice};
 use crate::LeaseTerms;
 
-/// Longest wait between two tries to reach an entry.
+/// First and longest wait between two tries to reach an entry.
+const REDIAL_MIN: Duration = Duration::from_millis(100);
 const REDIAL_MAX: Duration = Duration::from_millis(800);
 /// Step by which a refused fencing token is raised, in milliseconds of the clock that tokens come from.
 const TOKEN_STEP: u64 = 60_000;
@@ -138,6 +139,7 @@
     rng: ChaCha8Rng,
     plan: SitePlan,
     hold: holding::HoldState,
+    heard_at: MonoTime,
     drain_since: Option<MonoTime>,
     actions: Vec<RunnerAction>,
 }
@@ -152,10 +154,11 @@
             life_number: 0,
             book: RunBook::default(),
             sessions: BTreeMap::new(),
-            dialer: EntryDialer::new(options.entries.clone()).with_redial_max(REDIAL_MAX),
+            dialer: EntryDialer::new(options.entries.clone()).with_redial(REDIAL_MIN, REDIAL_MAX),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             hold: holding::HoldState::default(),
+            heard_at: MonoTime::ZERO,
             drain_since: None,
             actions: Vec::new(),
             options,
@@ -225,6 +228,8 @@
 
     fn begin_life(&mut self, notice: WorkerNotice) {
         self.end_life("reborn");
+        // Calls to an earlier life of the same name that are still on their way are refused by the new one.
+        self.token += 1;
         self.log(format!("event=worker_found worker={} born={} ready={}", notice.worker, notice.born, notice.is_ready));
         self.life_number += 1;
         self.life = Some(WorkerLife::new(notice));
@@ -243,7 +248,11 @@
             self.book.len()
         ));
         self.life_number += 1;
-        self.end_runs(RunOutcome::Lost);
+        let lost = self.book.select(RunRecord::is_surely_of_life);
+        lost.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost));
+        // A start that was on its way may have met the next life of the same name; that one has to be asked.
+        let now = self.now;
+        self.book.iter_mut().for_each(|(_, record)| record.stop_again(now));
     }
 
     fn end_runs(&mut self, outcome: RunOutcome) {
@@ -261,6 +270,9 @@
         if life != self.life_number || self.life.is_none() {
             return;
         }
+        if reply.is_answer() {
+            self.heard_at = self.now;
+        }
         match reply {
             WorkerReply::Start(run, reply) => self.take_start_reply(run, reply),
             WorkerReply::Stop(run, reply) => self.take_stop_reply(run, reply),
--- a/crates/runs/src/agent/runner/holding.rs
+++ b/crates/runs/src/agent/runner/holding.rs
@@ -10,8 +10,8 @@
 use crate::agent::calls::{HoldReply, RunList, WorkerCall};
 use crate::agent::run_book::RunState;
 
-/// Longest time that a hold waits for an end; a third of the worker's lease, so that renewals overlap.
-const HOLD_WAIT: Duration = Duration::from_millis(200);
+/// Longest time that a hold waits for an end; a quarter of the worker's lease, so that renewals overlap.
+const HOLD_WAIT: Duration = Duration::from_millis(100);
 /// The same while a stopped run has to be seen gone.
 const STOP_WAIT: Duration = Duration::from_millis(20);
 /// Pause after a hold that was not answered.
@@ -108,9 +108,12 @@
     /// Takes what is at work; runs that nobody here ordered are stopped.
     fn take_running(&mut self, list: &RunList) {
         let mut strangers = Vec::new();
+        let listed_at = self.now;
         for task in &list.running {
             match self.book.get_mut(&task.run).map(|record| &mut record.state) {
-                Some(state @ (RunState::Starting | RunState::Running { .. })) => *state = RunState::Running { percent: task.percent },
+                Some(state @ (RunState::Starting | RunState::Running { .. })) => {
+                    *state = RunState::Running { percent: task.percent, listed_at };
+                }
                 Some(_) => {}
                 None => strangers.push(task.run),
             }
--- a/crates/runs/src/agent/runner/ordering.rs
+++ b/crates/runs/src/agent/runner/ordering.rs
@@ -6,12 +6,14 @@
 use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::site_plan::SitePlan;
-use vanillacleat_core::units::Millis;
+use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::RunnerControl;
 use crate::agent::calls::{StartRefusal, StartReply, StopReply, WorkerCall};
 use crate::agent::run_book::{RunRecord, RunState};
 
+/// Time to an answer from which a worker on the same host counts as silent; it answers in about a millisecond.
+const ANSWER_TIME_MAX: Duration = Duration::from_millis(50);
 /// Longest time that a start waits here for room; its entry may have a better place by then.
 const QUEUE_WAIT_MAX: Duration = Duration::from_millis(100);
 
@@ -67,7 +69,15 @@
     /// Returns whether runs may start at the worker.
     pub(super) fn is_open(&self) -> bool {
         let is_ready = self.life.as_ref().is_some_and(|life| life.is_settled && life.notice.is_ready);
-        is_ready && self.drain_since.is_none() && !self.plan.zones_out.contains(&self.options.zone)
+        let is_wanted = self.drain_since.is_none() && !self.plan.zones_out.contains(&self.options.zone);
+        is_ready && is_wanted && !self.is_worker_silent()
+    }
+
+    /// Returns whether the worker has said nothing since a start that it should have answered: more starts would only
+    /// share its fate, and their entries can place them elsewhere.
+    fn is_worker_silent(&self) -> bool {
+        let is_overdue = |called_at: MonoTime| self.heard_at < called_at && self.now.since(called_at) >= ANSWER_TIME_MAX;
+        self.book.iter().any(|(_, record)| record.state == RunState::Starting && is_overdue(record.called_at))
     }
 
     /// Calls the starts that have room, in the order in which they came.
@@ -111,7 +121,7 @@
                 self.note_clock(clock);
                 let record = self.book.get_mut(&run).filter(|record| record.state == RunState::Starting);
                 if let Some(record) = record {
-                    record.state = RunState::Running { percent: 0 };
+                    record.state = RunState::Running { percent: 0, listed_at: self.now };
                     record.called_at = self.now;
                 }
             }
@@ -144,6 +154,9 @@
 
     /// Makes the stop calls that are due.
     pub(super) fn call_stops(&mut self) {
+        if self.life.is_none() {
+            return;
+        }
         let now = self.now;
         let mut due = Vec::new();
         for (run, record) in self.book.iter_mut() {
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -10,7 +10,7 @@
 use crate::agent::session_lease::SessionLease;
 
 /// Time between two reports on a session; a third of the session's lease, so that renewals overlap.
-const REPORT_PERIOD: Duration = Duration::from_millis(150);
+const REPORT_PERIOD: Duration = Duration::from_millis(120);
 
 impl RunnerControl {
     pub(super) fn open_session(&mut self, session: SessionId, address: SmolStr) {
@@ -78,7 +78,7 @@
         let now = self.now;
         for (session, lease) in &mut self.sessions {
             let is_due = lease.reported_at.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
-            if !is_due && lease.ends.is_empty() && lease.told == offer {
+            if !is_due && lease.ends.is_empty() && lease.told == offer && lease.told_closed == is_closed {
                 continue;
             }
             let report = RunReport {
@@ -88,9 +88,10 @@
                 used_by_you: self.book.used_by(*session),
                 worker: if lease.told == offer { None } else { offer.clone() },
                 is_closed,
-                progress: Vec::new(),
+                progress: self.book.progress_of(*session),
             };
             lease.told.clone_from(&offer);
+            lease.told_closed = is_closed;
             self.actions.push(RunnerAction::Send { session: *session, frame: RunFrame::Report(report) });
         }
     }
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -21,6 +21,8 @@
     pub ends: Vec<RunEnd>,
     /// What the entry was last told of the worker.
     pub told: Option<WorkerOffer>,
+    /// Whether the entry was last told that no starts are taken.
+    pub told_closed: bool,
     /// When the last report was sent.
     pub reported_at: Option<MonoTime>,
     questions: VecDeque<(u64, MonoTime)>,
@@ -36,6 +38,7 @@
             address,
             ends: Vec::new(),
             told: None,
+            told_closed: true,
             reported_at: None,
             questions: VecDeque::new(),
             next_nonce: 0,
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 mod answering;
 mod placing;
 mod sessions;
+mod watching;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use serde_json::{json, Value};
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::ids::ZoneName;
+use vanillacleat_core::ids::{AgentId, ZoneName};
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunOrders};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
@@ -113,6 +114,7 @@
     times: RouteTimes,
     orders: BTreeMap<SessionId, RunOrders>,
     echoes: BTreeMap<SessionId, MonoTime>,
+    slow: Vec<AgentId>,
     drain_since: Option<MonoTime>,
     idle_since: Option<MonoTime>,
     actions: Vec<DispatchAction>,
@@ -133,6 +135,7 @@
             times: RouteTimes::default(),
             orders: BTreeMap::new(),
             echoes: BTreeMap::new(),
+            slow: Vec::new(),
             drain_since: None,
             idle_since: None,
             actions: Vec::new(),
@@ -232,6 +235,7 @@
     /// Does what depends on passing time alone.
     fn keep_up(&mut self) {
         self.close_silent_sessions();
+        self.note_slow_workers();
         self.give_up_dead_agents();
         self.give_up_late_jobs();
         self.book.forget_verdicts(self.now);
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -56,11 +56,12 @@
         for end in &report.ends {
             self.settle(&agent, end);
         }
+        self.note_progress(&agent, &report.progress);
         self.echoes.entry(session).or_insert(self.now);
     }
 
     fn settle(&mut self, agent: &AgentId, end: &RunEnd) {
-        self.note_run_time(end);
+        self.note_end(agent, end);
         let Some(settled) = self.book.settle(self.now, agent, end) else {
             return;
         };
@@ -74,16 +75,6 @@
         self.apply(settled.effects);
     }
 
-    fn note_run_time(&mut self, end: &RunEnd) {
-        if end.outcome != RunOutcome::Done {
-            return;
-        }
-        if let Some(job) = self.book.get(&end.run.task.job) {
-            let estimate = job.job.steps.get(usize::from(end.run.task.step)).map(|step| step.estimate.to_duration());
-            self.times.note(&job.route.name, estimate.unwrap_or_default(), end.ran.to_duration());
-        }
-    }
-
     fn settle_lost(&mut self, agent: &AgentId, run: RunId) {
         self.settle(agent, &RunEnd { run, outcome: RunOutcome::Lost, ran: Millis(0) });
     }
--- a/crates/runs/src/entry/job_entry.rs
+++ b/crates/runs/src/entry/job_entry.rs
@@ -115,6 +115,11 @@
         self.job.steps[step].after.iter().all(is_done)
     }
 
+    /// Returns whether no run of the job has failed yet: a job that fails everywhere says nothing of the workers.
+    pub fn is_first_fault(&self) -> bool {
+        self.slots().all(|slot| slot.failures == 0)
+    }
+
     /// Returns the tasks that wait for nothing but a worker.
     pub fn ready_tasks(&self) -> Vec<TaskId> {
         let steps = (0..self.steps.len()).filter(|step| self.is_step_ready(*step));
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -5,7 +5,9 @@
 mod job_book;
 mod job_entry;
 mod run_times;
+mod straggler_rule;
 mod worker_board;
+mod worker_pace;
 mod worker_room;
 
 pub use caller_calls::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
@@ -13,5 +15,7 @@
 pub use job_book::{JobBook, JobEffect};
 pub use job_entry::{JobEntry, TaskSlot};
 pub use run_times::RouteTimes;
+pub use straggler_rule::{find_threshold, RunForecast};
 pub use worker_board::{RoomRequest, WorkerBoard};
+pub use worker_pace::WorkerPace;
 pub use worker_room::WorkerRoom;
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -10,6 +10,8 @@
 use vanillacleat_core::run_frames::{RunHello, RunReport};
 use vanillacleat_core::units::MonoTime;
 
+use super::straggler_rule::find_threshold;
+use super::worker_pace::WorkerPace;
 use super::worker_room::WorkerRoom;
 
 /// A `RoomRequest` is a task that needs a worker.
@@ -28,10 +30,17 @@
 }
 
 /// A `WorkerBoard` is what one entry knows of the workers. Only sessions tell it who is there.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct WorkerBoard {
     rooms: BTreeMap<AgentId, WorkerRoom>,
     by_session: BTreeMap<SessionId, AgentId>,
+    slow_from: f64,
+}
+
+impl Default for WorkerBoard {
+    fn default() -> Self {
+        Self { rooms: BTreeMap::new(), by_session: BTreeMap::new(), slow_from: f64::INFINITY }
+    }
 }
 
 impl WorkerBoard {
@@ -43,6 +52,7 @@
         let is_restarted = earlier.is_some_and(|earlier| earlier.incarnation != hello.incarnation);
         if let Some(earlier) = earlier {
             room.own = earlier.own;
+            room.pace = earlier.pace.clone();
         }
         self.rooms.insert(hello.agent.clone(), room);
         is_restarted
@@ -86,6 +96,22 @@
         }
     }
 
+    /// Returns the worker's record of pace and faults.
+    pub fn pace_mut(&mut self, agent: &AgentId) -> Option<&mut WorkerPace> {
+        self.rooms.get_mut(agent).map(|room| &mut room.pace)
+    }
+
+    /// Compares the workers' paces anew; returns those that are slow.
+    pub fn compare_paces(&mut self, now: MonoTime) -> Vec<AgentId> {
+        self.slow_from = find_threshold(self.rooms.values().map(|room| room.pace.slowness(now)));
+        let slow = self.rooms.values().filter(|room| self.is_slow(now, room));
+        slow.map(|room| room.agent.clone()).collect()
+    }
+
+    fn is_slow(&self, now: MonoTime, room: &WorkerRoom) -> bool {
+        room.pace.slowness(now).is_some_and(|slowness| slowness >= self.slow_from)
+    }
+
     /// Returns the worker of an agent.
     pub fn get(&self, agent: &AgentId) -> Option<&WorkerRoom> {
         self.rooms.get(agent)
@@ -130,7 +156,8 @@
         request: &RoomRequest<'_>,
         last: Option<&AgentId>,
     ) -> Option<&AgentId> {
-        let candidates = self.rooms.values().filter(|room| is_candidate(now, zones_out, request, room));
+        let is_sound = |room: &&WorkerRoom| !self.is_slow(now, room) && !room.pace.is_failing(now);
+        let candidates = self.rooms.values().filter(|room| is_candidate(now, zones_out, request, room)).filter(is_sound);
         let best = candidates.min_by_key(|room| {
             let is_far = request.preferred_rack.is_some_and(|rack| !has_label(room, rack));
             let millicores = room.room().millicores;
--- a/crates/runs/src/entry/worker_room.rs
+++ b/crates/runs/src/entry/worker_room.rs
@@ -8,6 +8,8 @@
 use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerOffer};
 use vanillacleat_core::units::MonoTime;
 
+use super::worker_pace::WorkerPace;
+
 /// Pause in placing after the worker's agent refused a start.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
 
@@ -38,6 +40,8 @@
     pub lost_at: Option<MonoTime>,
     /// Version of the plan that the agent is known to hold.
     pub plan_version: u64,
+    /// How fast and how reliably it runs tasks.
+    pub pace: WorkerPace,
     paused_until: MonoTime,
 }
 
@@ -56,6 +60,7 @@
             nonce: 0,
             lost_at: None,
             plan_version: hello.plan_version,
+            pace: WorkerPace::default(),
             paused_until: MonoTime::ZERO,
         }
     }
--- a/crates/runs/src/lease_terms.rs
+++ b/crates/runs/src/lease_terms.rs
@@ -5,9 +5,9 @@
 /// Slowest rate of a worker's clock against the agent's, in percent; workers promise to lose at most 2%.
 const WORKER_CLOCK_PERCENT: u32 = 98;
 /// Longest lease of a worker that is asked for; renewals come several times as often.
-const WORKER_LEASE_MAX: Duration = Duration::from_millis(600);
+const WORKER_LEASE_MAX: Duration = Duration::from_millis(400);
 /// Longest lease of a session; reports come several times as often.
-const SESSION_LEASE_MAX: Duration = Duration::from_millis(500);
+const SESSION_LEASE_MAX: Duration = Duration::from_millis(400);
 /// Shortest lease that renewals can keep up with on a small share of a core.
 const LEASE_MIN: Duration = Duration::from_millis(200);
 /// Allowance for late timers between the end of a lease and the next step.
--- /dev/null
+++ b/crates/runs/tests/lease_chain.rs
@@ -0,0 +1,53 @@
+//! The chain of leases is over before a caller asks again, and the parts that time it.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use smol_str::SmolStr;
+use vanillacleat_core::units::MonoTime;
+use vanillacleat_runs::agent::{SessionLease, WorkerClock};
+use vanillacleat_runs::LeaseTerms;
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_algorithm: proptest::test_runner::RngAlgorithm::ChaCha, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn chain_ends_before_resubmission(resubmit in 800_u64..10_000, hold in 250_u64..5_000, stop in 1_u64..100) {
+        let terms = LeaseTerms::new(Duration::from_millis(resubmit), Duration::from_millis(hold), Duration::from_millis(stop));
+        prop_assert!(terms.death_wait() <= Duration::from_millis(resubmit));
+        prop_assert!(terms.worker_lease <= Duration::from_millis(hold));
+    }
+
+    #[test]
+    fn worker_clock_is_a_lower_bound(rate in 98_u64..=100, readings in prop::collection::vec((1_u64..400, 0_u64..20), 1..20)) {
+        let (mut clock, mut now) = (WorkerClock::default(), 0_u64);
+        for (wait, transit) in readings {
+            now += wait;
+            let read = 50_000 + now * rate / 100;
+            now += transit;
+            clock.note(MonoTime::from_millis(now), read);
+            let truth = 50_000 + now * rate / 100;
+            prop_assert!(clock.at(MonoTime::from_millis(now)).is_some_and(|known| known <= truth));
+        }
+    }
+}
+
+#[test]
+fn session_lease_counts_from_the_question() {
+    let span = Duration::from_millis(400);
+    let mut lease = SessionLease::new(MonoTime::ZERO, SmolStr::new_static("entry"));
+    let nonce = lease.ask(MonoTime::from_millis(100));
+    assert!(!lease.is_valid(MonoTime::from_millis(150)), "no answer has come yet");
+    lease.renew(nonce, span);
+    assert!(lease.is_valid(MonoTime::from_millis(499)));
+    assert!(lease.has_lapsed(MonoTime::from_millis(500)));
+    lease.renew(nonce, span);
+    assert!(!lease.is_valid(MonoTime::from_millis(501)), "a repeated answer renews nothing");
+}
+
+#[test]
+fn silent_entries_are_given_up() {
+    let lease = SessionLease::new(MonoTime::from_millis(50), SmolStr::new_static("entry"));
+    assert!(!lease.has_lapsed(MonoTime::from_millis(1_049)));
+    assert!(lease.has_lapsed(MonoTime::from_millis(1_050)));
+}
--- /dev/null
+++ b/crates/runs/tests/slow_workers.rs
@@ -0,0 +1,70 @@
+//! Pattern: a few workers turn slow, stand still or fail what they start, while the others are sound.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use vanillacleat_core::units::MonoTime;
+use vanillacleat_runs::entry::{find_threshold, RunForecast, WorkerPace};
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[rstest]
+#[case::one_slow(&[1.0, 0.9, 1.1, 7.0], 7.0, true)]
+#[case::all_slow_alike(&[6.0, 6.5, 7.0, 7.0], 7.0, false)]
+#[case::half_slow(&[1.0, 1.0, 7.0, 7.0, 1.0], 7.0, true)]
+#[case::slightly_slower(&[1.0, 1.0, 1.5], 1.5, false)]
+fn only_outliers_are_slow(#[case] slownesses: &[f64], #[case] asked: f64, #[case] is_slow: bool) {
+    let threshold = find_threshold(slownesses.iter().copied().map(Some));
+    assert_eq!(asked >= threshold, is_slow, "threshold {threshold}");
+}
+
+#[test]
+fn unknown_workers_count_as_sound() {
+    assert!(find_threshold([None, None, Some(9.0)].into_iter()) < 9.0);
+}
+
+#[rstest]
+#[case::young_on_slow_worker(100, 24, 7.0, true)]
+#[case::nearly_done(380, 90, 7.0, false)]
+#[case::standing_still(400, 0, 50.0, true)]
+#[case::long_task_on_sound_worker(400, 20, 1.0, false)]
+fn runs_move_where_a_restart_is_faster(
+    #[case] elapsed: u64,
+    #[case] percent: u8,
+    #[case] slowness: f64,
+    #[case] is_moved: bool,
+) {
+    let forecast = RunForecast::new(millis(elapsed), percent);
+    assert_eq!(forecast.is_worth_moving(slowness), is_moved, "{forecast:?}");
+}
+
+#[test]
+fn paces_need_samples_and_age() {
+    let mut pace = WorkerPace::default();
+    let start = MonoTime::from_millis(5_000);
+    pace.note_end(start, 7.0);
+    pace.note_end(start, 7.0);
+    assert_eq!(pace.slowness(start), None);
+    pace.note_progress(start, 7.0);
+    assert!(pace.slowness(start).is_some_and(|slowness| (6.9..7.1).contains(&slowness)));
+    assert_eq!(pace.slowness(start + millis(1_500)), None, "after a while without runs the worker gets a trial");
+}
+
+#[test]
+fn failing_workers_are_left_alone_longer_each_time() {
+    let mut pace = WorkerPace::default();
+    let start = MonoTime::from_millis(1_000);
+    pace.note_fault(start);
+    assert!(!pace.is_failing(start), "one failure may be the job's");
+    pace.note_fault(start);
+    assert!(pace.is_failing(start + millis(499)) && !pace.is_failing(start + millis(500)));
+    pace.note_fault(start + millis(500));
+    assert!(pace.is_failing(start + millis(1_499)) && !pace.is_failing(start + millis(1_500)));
+    pace.note_end(start + millis(1_600), 1.0);
+    pace.note_end(start + millis(1_600), 1.0);
+    pace.note_end(start + millis(1_600), 1.0);
+    pace.note_fault(start + millis(1_700));
+    assert!(!pace.is_failing(start + millis(1_700)), "successes count against failures");
+}
--- /dev/null
+++ b/crates/runs/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! A small world of entries, agents, workers and callers under faults, driven by one seed.
+
+#![allow(dead_code)]
+
+pub mod callers;
+pub mod checks;
+pub mod faults;
+pub mod world;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,8 +8,10 @@
 mod start_log;
 mod store;
 mod upstream;
+mod worker_model;
 
 pub use platform::{PlatformFaults, PlatformStandin};
 pub use ports::free_port;
 pub use start_log::{StartLog, StartRecord};
 pub use upstream::{TaskScript, UpstreamFaults, UpstreamStandin, STATUS_BROKEN};
+pub use worker_model::WorkerModel;
