--- a/crates/runs/src/agent/calls.rs
+++ b/crates/runs/src/agent/calls.rs
@@ -24,6 +24,8 @@
     },
     /// Reads the lists of runs, and renews the lease if an end is given.
     Hold {
+        /// Names the call for its reply.
+        number: u64,
         /// End of the worker's lease, on the worker's clock, in milliseconds.
         lease_end: Option<u64>,
         /// Ends up to this number have been taken.
@@ -41,13 +43,13 @@
     /// Of a stop.
     Stop(RunId, StopReply),
     /// Of a hold.
-    Hold(HoldReply),
+    Hold(u64, HoldReply),
 }
 
 impl WorkerReply {
     /// Returns whether the worker answered at all.
     pub fn is_answer(&self) -> bool {
-        !matches!(self, Self::Start(_, StartReply::Unanswered) | Self::Stop(_, StopReply::Unanswered) | Self::Hold(HoldReply::Unanswered))
+        !matches!(self, Self::Start(_, StartReply::Unanswered) | Self::Stop(_, StopReply::Unanswered) | Self::Hold(_, HoldReply::Unanswered))
     }
 }
 
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -272,11 +272,13 @@
         }
         if reply.is_answer() {
             self.heard_at = self.now;
+        } else {
+            self.hold.lossy_until = self.now + holding::LOSSY_TIME;
         }
         match reply {
             WorkerReply::Start(run, reply) => self.take_start_reply(run, reply),
             WorkerReply::Stop(run, reply) => self.take_stop_reply(run, reply),
-            WorkerReply::Hold(reply) => self.take_hold_reply(reply),
+            WorkerReply::Hold(number, reply) => self.take_hold_reply(number, reply),
         }
     }
 
--- a/crates/runs/src/agent/runner/holding.rs
+++ b/crates/runs/src/agent/runner/holding.rs
@@ -1,5 +1,6 @@
 //! The renewal of the worker's lease and what the worker lists.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use vanillacleat_core::caller_job::RunId;
@@ -12,16 +13,26 @@
 
 /// Longest time that a hold waits for an end; a quarter of the worker's lease, so that renewals overlap.
 const HOLD_WAIT: Duration = Duration::from_millis(100);
-/// The same while a stopped run has to be seen gone.
-const STOP_WAIT: Duration = Duration::from_millis(20);
+/// The same while a stopped run has to be seen gone, or while calls go unanswered: a lost hold hides ends that long.
+const SHORT_WAIT: Duration = Duration::from_millis(20);
+/// Time for which holds overlap after a call was not answered.
+pub(super) const LOSSY_TIME: Duration = Duration::from_secs(2);
+/// Holds under way at once while calls go unanswered.
+const LOSSY_HOLDS: usize = 2;
+/// Time between a start call and a hold from which the hold's answer must list the run if it has begun.
+const LISTING_TIME: Duration = Duration::from_millis(15);
 /// Pause after a hold that was not answered.
 const HOLD_PAUSE: Duration = Duration::from_millis(50);
 
-/// A `HoldState` is the one hold call that may be under way.
+/// A `HoldState` tells of the hold calls: one is under way as a rule, and more while calls go unanswered.
 #[derive(Debug, Default)]
 pub(super) struct HoldState {
-    /// When the call was made, while it is under way.
-    pub sent_at: Option<MonoTime>,
+    /// The calls under way: their numbers and when they were made.
+    pub calls: BTreeMap<u64, MonoTime>,
+    /// Number of the last call.
+    pub last_number: u64,
+    /// Until when calls are expected to go unanswered.
+    pub lossy_until: MonoTime,
     /// The earliest moment of the next call.
     pub due_at: MonoTime,
     /// When the worker's lease was last extended, or may have been.
@@ -31,21 +42,24 @@
 }
 
 impl RunnerControl {
-    /// Keeps one hold call under way while something runs or an end has to be acknowledged.
+    /// Keeps a hold call under way while something runs or an end has to be acknowledged.
     pub(super) fn keep_hold(&mut self) {
         self.give_up_silent_worker();
         let Some(life) = &self.life else {
             return;
         };
         let is_wanted = !life.is_settled || self.book.has_given() || life.observed > life.acknowledged;
-        if !is_wanted || self.hold.sent_at.is_some() || self.now < self.hold.due_at {
+        let is_lossy = self.now < self.hold.lossy_until;
+        let most = if is_lossy && life.is_settled { LOSSY_HOLDS } else { 1 };
+        if !is_wanted || self.hold.calls.len() >= most || self.now < self.hold.due_at {
             return;
         }
         let is_renewing = life.is_settled && self.book.has_given() && self.hold.failures == 0;
         let lease_end = is_renewing.then(|| life.clock.lease_end(self.now, self.options.terms.worker_lease));
         let is_stopping = |state: &RunState| matches!(state, RunState::Stopping { taken_at: Some(_), .. });
+        let is_hurried = is_lossy || self.book.iter().any(|(_, record)| is_stopping(&record.state));
         let wait = match is_renewing {
-            true if self.book.iter().any(|(_, record)| is_stopping(&record.state)) => STOP_WAIT,
+            true if is_hurried => SHORT_WAIT,
             true => HOLD_WAIT,
             false => Duration::ZERO,
         };
@@ -53,8 +67,10 @@
         if is_renewing {
             self.hold.extended_at = self.now;
         }
-        self.hold.sent_at = Some(self.now);
-        self.call(WorkerCall::Hold { lease_end, observed, wait });
+        self.hold.last_number += 1;
+        let number = self.hold.last_number;
+        self.hold.calls.insert(number, self.now);
+        self.call(WorkerCall::Hold { number, lease_end, observed, wait });
     }
 
     /// A worker that has not answered for as long as its lease lasts has ended all runs by itself.
@@ -71,8 +87,10 @@
         self.end_runs(RunOutcome::Lost);
     }
 
-    pub(super) fn take_hold_reply(&mut self, reply: HoldReply) {
-        let sent_at = self.hold.sent_at.take().unwrap_or(self.now);
+    pub(super) fn take_hold_reply(&mut self, number: u64, reply: HoldReply) {
+        let Some(sent_at) = self.hold.calls.remove(&number) else {
+            return;
+        };
         match reply {
             HoldReply::Listed(list) => self.take_list(sent_at, &list),
             HoldReply::Fenced => self.raise_token(),
@@ -127,14 +145,15 @@
         }
         self.log(format!("event=strangers_stopped runs={} first={}", strangers.len(), strangers[0]));
         strangers.into_iter().for_each(|run| self.call(WorkerCall::Stop { run }));
-        self.hold.due_at = self.now + STOP_WAIT;
+        self.hold.due_at = self.now + SHORT_WAIT;
     }
 
     /// Ends the runs that should be listed and are not.
     fn settle_missing(&mut self, sent_at: MonoTime, list: &RunList) {
         let is_listed = |run: &RunId| list.running.iter().any(|task| task.run == *run);
         let mut missing = Vec::new();
-        for (run, record) in self.book.iter() {
+        let now = self.now;
+        for (run, record) in self.book.iter_mut() {
             let outcome = match record.state {
                 RunState::Running { .. } if record.called_at < sent_at => RunOutcome::Lost,
                 RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
@@ -144,6 +163,10 @@
                         RunOutcome::Stopped
                     }
                 }
+                RunState::Starting if record.called_at + LISTING_TIME <= sent_at && !is_listed(run) => {
+                    record.stop(now, true);
+                    continue;
+                }
                 _ => continue,
             };
             if !is_listed(run) {
--- a/crates/runs/src/entry/dispatch/watching.rs
+++ b/crates/runs/src/entry/dispatch/watching.rs
@@ -40,7 +40,7 @@
         match end.outcome {
             RunOutcome::Done => {
                 let ran = end.ran.to_duration();
-                pace.note_end(now, ran.as_secs_f64() / expected.as_secs_f64().max(0.001));
+                pace.note_end(now, end.run.task.job, ran.as_secs_f64() / expected.as_secs_f64().max(0.001));
                 if !self.slow.contains(agent) {
                     self.times.note(&route, estimate, ran);
                 }
@@ -58,7 +58,7 @@
                 continue;
             };
             if let Some(pace) = self.board.pace_mut(agent) {
-                pace.note_progress(self.now, forecast.total.as_secs_f64() / expected.as_secs_f64().max(0.001));
+                pace.note_progress(self.now, row.run.task.job, forecast.total.as_secs_f64() / expected.as_secs_f64().max(0.001));
             }
             self.move_straggler(agent, &row.run, &forecast);
         }
--- a/crates/runs/src/entry/worker_pace.rs
+++ b/crates/runs/src/entry/worker_pace.rs
@@ -1,16 +1,16 @@
 //! How fast and how reliably a worker runs tasks, from the progress and the ends that its agent reports.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use vanillacleat_core::caller_job::CallerJobId;
 use vanillacleat_core::units::MonoTime;
 
-/// Weight of the ratio of one run that is done.
-const END_WEIGHT: f64 = 0.3;
-/// Weight of the ratio that one report of progress predicts.
-const PROGRESS_WEIGHT: f64 = 0.15;
-/// Samples from which a pace is believed.
-const SAMPLES_MIN: u32 = 3;
-/// Age of the last sample from which a pace says nothing any more, so that the worker gets a trial.
+/// Jobs from which a pace is believed. Tasks of one job share the error of its estimate, so they count once.
+const JOBS_MIN: usize = 3;
+/// Jobs that are remembered.
+const JOBS_MAX: usize = 6;
+/// Age from which a ratio says nothing any more, so that a slow worker gets a trial.
 const PACE_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// Weight of one job's failure or success.
 const FAULT_WEIGHT: f64 = 0.35;
@@ -23,25 +23,35 @@
 /// A `WorkerPace` is what runs at one worker tell of it. A ratio is a run time over the run time to expect.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerPace {
-    log_ratio: f64,
-    samples: u32,
-    sampled_at: MonoTime,
+    ratios: VecDeque<JobRatio>,
     fault_share: f64,
     pauses: u32,
     paused_until: MonoTime,
 }
 
+/// The newest ratio of a job's runs there.
+#[derive(Clone, Copy, Debug)]
+struct JobRatio {
+    job: CallerJobId,
+    ratio: f64,
+    at: MonoTime,
+}
+
 impl WorkerPace {
     /// Takes the ratio of a run that is done.
-    pub fn note_end(&mut self, now: MonoTime, ratio: f64) {
-        self.note(now, ratio, END_WEIGHT);
+    pub fn note_end(&mut self, now: MonoTime, job: CallerJobId, ratio: f64) {
+        self.note_progress(now, job, ratio);
         self.fault_share *= 1.0 - FAULT_WEIGHT;
         self.pauses = 0;
     }
 
     /// Takes the ratio that a run at work will have, as far as its progress tells.
-    pub fn note_progress(&mut self, now: MonoTime, ratio: f64) {
-        self.note(now, ratio, PROGRESS_WEIGHT);
+    pub fn note_progress(&mut self, now: MonoTime, job: CallerJobId, ratio: f64) {
+        self.ratios.retain(|other| other.job != job);
+        self.ratios.push_back(JobRatio { job, ratio, at: now });
+        if self.ratios.len() > JOBS_MAX {
+            self.ratios.pop_front();
+        }
     }
 
     /// Notes that a job failed there that may be sound.
@@ -56,23 +66,15 @@
 
     /// Returns how many times as long as expected runs take there, or nothing while that is not known.
     pub fn slowness(&self, now: MonoTime) -> Option<f64> {
-        let is_known = self.samples >= SAMPLES_MIN && now.since(self.sampled_at) < PACE_AGE_MAX;
-        is_known.then(|| self.log_ratio.exp())
+        let fresh = self.ratios.iter().filter(|ratio| now.since(ratio.at) < PACE_AGE_MAX);
+        let mut fresh: Vec<f64> = fresh.map(|ratio| ratio.ratio).collect();
+        fresh.sort_by(f64::total_cmp);
+        // The lower of the two middle ones: a worker is slow only if more than half of its jobs say so.
+        (fresh.len() >= JOBS_MIN).then(|| fresh[(fresh.len() - 1) / 2])
     }
 
     /// Returns whether the worker is left alone since jobs fail there.
     pub fn is_failing(&self, now: MonoTime) -> bool {
         now < self.paused_until
     }
-
-    fn note(&mut self, now: MonoTime, ratio: f64, weight: f64) {
-        if now.since(self.sampled_at) >= PACE_AGE_MAX {
-            self.samples = 0;
-        }
-        let log_ratio = ratio.clamp(0.01, 100.0).ln();
-        let weight = weight.max(1.0 / f64::from(self.samples + 1));
-        self.log_ratio += weight * (log_ratio - self.log_ratio);
-        self.samples = self.samples.saturating_add(1);
-        self.sampled_at = now;
-    }
 }
--- a/crates/runs/tests/slow_workers.rs
+++ b/crates/runs/tests/slow_workers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use vanillacleat_core::caller_job::CallerJobId;
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_runs::entry::{find_threshold, RunForecast, WorkerPace};
 
@@ -44,11 +45,12 @@
 fn paces_need_samples_and_age() {
     let mut pace = WorkerPace::default();
     let start = MonoTime::from_millis(5_000);
-    pace.note_end(start, 7.0);
-    pace.note_end(start, 7.0);
-    assert_eq!(pace.slowness(start), None);
-    pace.note_progress(start, 7.0);
-    assert!(pace.slowness(start).is_some_and(|slowness| (6.9..7.1).contains(&slowness)));
+    pace.note_end(start, CallerJobId(1), 7.0);
+    pace.note_end(start, CallerJobId(1), 7.0);
+    pace.note_progress(start, CallerJobId(2), 7.0);
+    assert_eq!(pace.slowness(start), None, "tasks of one job share the error of its estimate");
+    pace.note_progress(start, CallerJobId(3), 1.0);
+    assert_eq!(pace.slowness(start), Some(7.0));
     assert_eq!(pace.slowness(start + millis(1_500)), None, "after a while without runs the worker gets a trial");
 }
 
@@ -62,9 +64,7 @@
     assert!(pace.is_failing(start + millis(499)) && !pace.is_failing(start + millis(500)));
     pace.note_fault(start + millis(500));
     assert!(pace.is_failing(start + millis(1_499)) && !pace.is_failing(start + millis(1_500)));
-    pace.note_end(start + millis(1_600), 1.0);
-    pace.note_end(start + millis(1_600), 1.0);
-    pace.note_end(start + millis(1_600), 1.0);
+    (1..4).for_each(|job| pace.note_end(start + millis(1_600), CallerJobId(job), 1.0));
     pace.note_fault(start + millis(1_700));
     assert!(!pace.is_failing(start + millis(1_700)), "successes count against failures");
 }
--- a/crates/runs/tests/support/world.rs
+++ b/crates/runs/tests/support/world.rs
@@ -49,7 +49,7 @@
     Dialed(usize, u64, usize),
     SessionEnds(usize),
     Called(usize, u64, u64, u64, WorkerCall),
-    HoldReturns(usize, u64, u64, u64, u64, u64),
+    HoldReturns(usize, u64, u64, u64, (u64, u64, u64)),
     Submit(usize),
     RestartEntry(usize),
     RestartAgent(usize),
@@ -193,7 +193,7 @@
             Happening::Dialed(agent, run, entry) => self.connect(agent, run, entry),
             Happening::SessionEnds(session) => self.end_session(session),
             Happening::Called(worker, run, life, token, call) => self.call_worker(worker, run, life, token, call),
-            Happening::HoldReturns(worker, run, life, token, observed, born) => self.return_hold(worker, run, life, token, observed, born),
+            Happening::HoldReturns(worker, run, life, token, call) => self.return_hold(worker, run, life, token, call),
             Happening::Submit(caller) => self.submit(caller),
             Happening::RestartEntry(entry) => self.restart_entry(entry),
             Happening::RestartAgent(agent) => self.restart_agent(agent),
@@ -396,13 +396,13 @@
                 WorkerReply::Start(run, model.start(self.now, token, run, lease_end, (demand, work, fails)))
             }
             WorkerCall::Stop { run } => WorkerReply::Stop(run, model.stop(self.now, token, run)),
-            WorkerCall::Hold { lease_end, observed, wait } => {
+            WorkerCall::Hold { number, lease_end, observed, wait } => {
                 let reply = model.hold(self.now, token, lease_end, observed);
                 let born = model.born;
                 self.watch(worker);
                 let has_ended = matches!(&reply, HoldReply::Listed(list) if !list.ended.is_empty());
                 let wait = if has_ended { Duration::ZERO } else { wait };
-                return self.at(wait, Happening::HoldReturns(worker, run, life, token, observed, born));
+                return self.at(wait, Happening::HoldReturns(worker, run, life, token, (number, observed, born)));
             }
         };
         self.watch(worker);
@@ -414,12 +414,12 @@
         let reply = match call {
             WorkerCall::Start { run, .. } => WorkerReply::Start(*run, StartReply::Unanswered),
             WorkerCall::Stop { run } => WorkerReply::Stop(*run, StopReply::Unanswered),
-            WorkerCall::Hold { .. } => WorkerReply::Hold(HoldReply::Unanswered),
+            WorkerCall::Hold { number, .. } => WorkerReply::Hold(*number, HoldReply::Unanswered),
         };
         self.at(CALL_TIMEOUT, Happening::ToAgent(worker, run, RunnerEvent::Replied { life, reply }));
     }
 
-    fn return_hold(&mut self, worker: usize, run: u64, life: u64, token: u64, observed: u64, born: u64) {
+    fn return_hold(&mut self, worker: usize, run: u64, life: u64, token: u64, (number, observed, born): (u64, u64, u64)) {
         let model = &mut self.workers[worker];
         let reply = if model.born == born { model.hold(self.now, token, None, observed) } else { HoldReply::Unanswered };
         if let HoldReply::Listed(list) = &reply {
@@ -431,7 +431,7 @@
         }
         self.watch(worker);
         let wait = self.delay();
-        self.at(wait, Happening::ToAgent(worker, run, RunnerEvent::Replied { life, reply: WorkerReply::Hold(reply) }));
+        self.at(wait, Happening::ToAgent(worker, run, RunnerEvent::Replied { life, reply: WorkerReply::Hold(number, reply) }));
     }
 
     fn submit(&mut self, caller: usize) {
