Place what can be in time before what is late, and refuse at arrival what can't be in time

An entry took a returning job for a new one; the patience that it has left tells its age. Ruled out: start of the processes (all up 0.3 s after the power), the store (down from 31 to 33.2 s, windows whole).

--- a/crates/control/src/agent/dialer.rs
+++ b/crates/control/src/agent/dialer.rs
@@ -23,6 +23,7 @@
     entries: BTreeMap<SmolStr, DialState>,
     redial_min: Duration,
     redial_max: Duration,
+    steady_tries: u32,
 }
 
 #[derive(Debug)]
@@ -37,12 +38,12 @@
     /// Returns a dialer that knows the seeds.
     pub fn new(seeds: Vec<SmolStr>) -> Self {
         let states = seeds.into_iter().map(|seed| (seed, DialState { is_seed: true, is_up: false, failures: 0, next_at: MonoTime::ZERO }));
-        Self { entries: states.collect(), redial_min: REDIAL_MIN, redial_max: REDIAL_MAX }
+        Self { entries: states.collect(), redial_min: REDIAL_MIN, redial_max: REDIAL_MAX, steady_tries: 1 }
     }
 
-    /// Returns the dialer with other waits between tries.
-    pub fn with_redial(self, redial_min: Duration, redial_max: Duration) -> Self {
-        Self { redial_min, redial_max, ..self }
+    /// Returns the dialer with other waits between tries; the first `steady_tries` come at the shortest wait.
+    pub fn with_redial(self, redial_min: Duration, redial_max: Duration, steady_tries: u32) -> Self {
+        Self { redial_min, redial_max, steady_tries, ..self }
     }
 
     /// Takes the address of an entry; a known one is left as it is.
@@ -65,7 +66,7 @@
         };
         state.is_up = false;
         state.failures += 1;
-        let wait = (self.redial_min * 2_u32.pow(state.failures.min(6) - 1)).min(self.redial_max);
+        let wait = (self.redial_min * 2_u32.pow(state.failures.saturating_sub(self.steady_tries).min(5))).min(self.redial_max);
         state.next_at = now + wait.mul_f64(rng.random_range(0.5..1.0));
         if state.failures > FAILURES_MAX && !state.is_seed {
             self.entries.remove(address);
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -132,7 +132,13 @@
 
 fn make_options(settings: &RunsEntrySettings) -> DispatchOptions {
     let drain_max = settings.leases.drain_max();
-    DispatchOptions { zone: settings.zone.clone(), terms: settings.leases.terms(), linger: LINGER.min(drain_max / 2), drain_max }
+    DispatchOptions {
+        zone: settings.zone.clone(),
+        terms: settings.leases.terms(),
+        resubmit_after: settings.leases.resubmit_ms.to_duration(),
+        linger: LINGER.min(drain_max / 2),
+        drain_max,
+    }
 }
 
 async fn accept_agents(listener: TcpListener, events: EventSender<EntryInput>) {
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -27,6 +27,8 @@
 /// First and longest wait between two tries to reach an entry.
 const REDIAL_MIN: Duration = Duration::from_millis(100);
 const REDIAL_MAX: Duration = Duration::from_millis(800);
+/// Tries at the first wait: entries that start at the same time as agents take a little longer.
+const STEADY_TRIES: u32 = 8;
 /// Step by which a refused fencing token is raised, in milliseconds of the clock that tokens come from.
 const TOKEN_STEP: u64 = 60_000;
 
@@ -154,7 +156,7 @@
             life_number: 0,
             book: RunBook::default(),
             sessions: BTreeMap::new(),
-            dialer: EntryDialer::new(options.entries.clone()).with_redial(REDIAL_MIN, REDIAL_MAX),
+            dialer: EntryDialer::new(options.entries.clone()).with_redial(REDIAL_MIN, REDIAL_MAX, STEADY_TRIES),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             hold: holding::HoldState::default(),
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -38,6 +38,8 @@
     pub zone: ZoneName,
     /// Spans of the leases.
     pub terms: LeaseTerms,
+    /// Shortest time after which a caller submits a job again that broke off.
+    pub resubmit_after: Duration,
     /// Time after the request to leave for which new requests are still served, since callers still come.
     pub linger: Duration,
     /// Longest time that a leaving entry waits for its open jobs.
@@ -206,7 +208,7 @@
                 "route": job.route.name,
                 "phase": format!("{:?}", job.phase()),
                 "arrived": job.arrived_at.to_string(),
-                "wanted": job.wanted_at.to_string(),
+                "wanted": job.times.wanted_at.to_string(),
                 "runs": job.sent_runs().iter().map(|(run, agent)| format!("{run}@{agent}")).collect::<Vec<_>>(),
             })
         });
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -59,17 +59,23 @@
         if let Some(problem) = job.find_problem() {
             return self.reply(reply, CallerAnswer::Malformed(problem.into()));
         }
-        let objective = self.find_objective(&job, route);
-        // The route's timeout bounds the wait for a start; how long the answer may take is the caller's to say.
-        let patience = caller.unwrap_or(route.timeout.to_duration() + objective);
-        let entry = JobEntry::new(Arc::new(job), route.clone(), self.now, objective, patience);
+        let times = self.find_times(&job, route, caller);
+        let delay = self.find_delay(&times, route);
+        let is_open = self.book.get(&id).is_some();
+        if !is_open && !delay.is_zero() && times.is_useless(self.now, delay) {
+            self.log(format!("event=job_refused job={id} reason=load delay_ms={}", delay.as_millis()));
+            return self.refuse(reply, "there is no room in time", self.retry_time(&id));
+        }
+        let entry = JobEntry::new(Arc::new(job), route.clone(), self.now, times);
         self.log(format!(
-            "event=job_admitted job={id} route={} version={} tasks={} wanted_ms={} patience_ms={}",
+            "event=job_admitted job={id} route={} version={} tasks={} age_ms={} wanted_ms={} patience_ms={} delay_ms={}",
             route.name,
             self.plan.version(),
             entry.steps.iter().map(Vec::len).sum::<usize>(),
-            (entry.wanted_at - self.now).as_millis(),
-            patience.as_millis()
+            self.now.since(times.asked_at).as_millis(),
+            times.wanted_at.since(times.asked_at).as_millis(),
+            times.give_up_at.since(self.now).as_millis(),
+            delay.as_millis()
         ));
         self.book.submit(entry, reply);
     }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -5,25 +5,31 @@
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId, TaskId};
 use vanillacleat_core::run_frames::RunStart;
 use vanillacleat_core::site_plan::RouteRule;
-use vanillacleat_core::units::MonoTime;
 
 use super::DispatchControl;
 use crate::entry::job_entry::JobEntry;
+use crate::entry::job_order::{find_age, find_wait, JobTimes};
 use crate::entry::worker_board::RoomRequest;
 
-/// Multiple of the wanted time within which a late answer is still worth something to its caller.
-const LATE_FACTOR: u32 = 3;
-/// When a caller should come back that was refused for load.
+/// When a caller should come back at the earliest that was refused for load.
 const RETRY_LOAD: Duration = Duration::from_secs(1);
 
 impl DispatchControl {
-    /// Returns the time within which a job's answer is wanted: a multiple of its longest chain of steps, and more.
-    pub(super) fn find_objective(&self, job: &CallerJob, route: &RouteRule) -> Duration {
-        self.expect_chain(job, route) * route.slack_percent / 100 + route.target_latency.to_duration()
+    /// Returns the moments that decide a job's place. Its answer is wanted within a multiple of its longest chain of
+    /// steps, and a fixed time more.
+    pub(super) fn find_times(&self, job: &CallerJob, route: &RouteRule, caller: Option<Duration>) -> JobTimes {
+        let expected = self.expect_chain(job, route);
+        let objective = expected * route.slack_percent / 100 + route.target_latency.to_duration();
+        let timeout = route.timeout.to_duration();
+        // The route's timeout bounds the wait for a start; how long the answer may take is the caller's to say.
+        let patience = caller.unwrap_or(timeout + objective);
+        let age = find_age(patience, timeout, self.options.resubmit_after);
+        let asked_at = self.now.before(age);
+        JobTimes { asked_at, wanted_at: asked_at + objective, give_up_at: self.now + patience, expected }
     }
 
     /// Returns the run time to expect of a job's longest chain of steps.
-    fn expect_chain(&self, job: &CallerJob, route: &RouteRule) -> Duration {
+    pub(super) fn expect_chain(&self, job: &CallerJob, route: &RouteRule) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(job.steps.len());
         for step in &job.steps {
             let begin = step.after.iter().map(|earlier| ends[usize::from(*earlier)]).max().unwrap_or_default();
@@ -34,7 +40,10 @@
 
     /// Binds waiting tasks to workers with room, job by job.
     pub(super) fn place(&mut self) {
-        for id in self.book.ready_jobs() {
+        if !self.board.has_room(self.now) {
+            return;
+        }
+        for id in self.book.ready_jobs(self.now) {
             self.place_job(&id);
         }
     }
@@ -91,7 +100,7 @@
 
     /// Refuses waiting jobs that can't end in time any more, and gives up started ones that nobody waits for.
     pub(super) fn give_up_late_jobs(&mut self) {
-        let late: Vec<CallerJobId> = self.book.jobs().filter(|job| job.is_live() && self.is_late(job)).map(|job| job.job.id).collect();
+        let late: Vec<CallerJobId> = self.book.jobs().filter(|job| job.is_live() && self.is_hopeless(job)).map(|job| job.job.id).collect();
         for id in late {
             let Some(job) = self.book.get(&id) else {
                 continue;
@@ -99,21 +108,29 @@
             let has_started = job.has_run || job.has_sent();
             let waited = self.now.since(job.arrived_at);
             self.log(format!("event=job_late job={id} waited_ms={} started={has_started}", waited.as_millis()));
-            let effects = if has_started { self.book.abandon(&id) } else { self.book.refuse(&id, "there is no room in time", RETRY_LOAD) };
+            let effects =
+                if has_started { self.book.abandon(&id) } else { self.book.refuse(&id, "there is no room in time", self.retry_time(&id)) };
             self.apply(effects);
         }
     }
 
-    fn is_late(&self, job: &JobEntry) -> bool {
+    fn is_hopeless(&self, job: &JobEntry) -> bool {
         if job.has_run || job.has_sent() {
-            return self.now >= job.give_up_at;
+            return self.now >= job.times.give_up_at;
         }
-        self.now + self.expect_chain(&job.job, &job.route) > latest_end(job)
+        job.times.is_useless(self.now, Duration::ZERO)
     }
-}
 
-/// Returns when an answer is of no use any more.
-fn latest_end(job: &JobEntry) -> MonoTime {
-    let useful = job.arrived_at + job.wanted_at.since(job.arrived_at) * LATE_FACTOR;
-    useful.min(job.give_up_at)
+    /// Returns the time until a job with these times would start behind what waits already, if it is placed by rank.
+    pub(super) fn find_delay(&self, times: &JobTimes, route: &RouteRule) -> Duration {
+        let queued = self.book.work_before(self.now, times.rank(self.now, route.priority));
+        let cores = self.board.capacity_of(self.now, &route.service, &self.plan.zones_out);
+        // Each entry counts on its share of the workers.
+        find_wait(queued, cores / self.entries.len().max(1) as f64)
+    }
+
+    /// Returns when a refused caller should come back: a second or two from now, so that not all return at once.
+    pub(super) fn retry_time(&self, id: &CallerJobId) -> Duration {
+        RETRY_LOAD * (1 + (id.0 % 2) as u32)
+    }
 }
--- a/crates/runs/src/entry/job_book.rs
+++ b/crates/runs/src/entry/job_book.rs
@@ -11,6 +11,7 @@
 
 use super::caller_calls::{CallerAnswer, JobPhase};
 use super::job_entry::{JobEntry, SlotState};
+use super::job_order::JobRank;
 
 /// How long the end of a job is remembered for callers who ask again.
 const VERDICT_AGE_MAX: Duration = Duration::from_secs(120);
@@ -50,14 +51,11 @@
     pub effects: Vec<JobEffect>,
 }
 
-/// The order of placement: the priority of the route, then the time at which the answer is wanted.
-type ReadyKey = (u32, MonoTime, CallerJobId);
-
 /// A `JobBook` holds the open jobs.
 #[derive(Debug, Default)]
 pub struct JobBook {
     jobs: BTreeMap<CallerJobId, JobEntry>,
-    ready: BTreeSet<ReadyKey>,
+    ready: BTreeSet<CallerJobId>,
     waiters: BTreeMap<ReplyId, CallerJobId>,
     verdicts: BTreeMap<CallerJobId, JobPhase>,
     verdict_ages: VecDeque<(MonoTime, CallerJobId)>,
@@ -85,8 +83,7 @@
         self.waiters.insert(waiter, id);
         if let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_winding_down) {
             // A job that was being wound down goes on for the caller who has come back.
-            self.ready.remove(&ready_key(job));
-            (job.wanted_at, job.give_up_at) = (entry.wanted_at, entry.give_up_at);
+            job.times = entry.times;
             job.is_winding_down = false;
             job.verdict = None;
         }
@@ -123,8 +120,19 @@
     }
 
     /// Returns the jobs with tasks that wait for a worker, the first to be placed first.
-    pub fn ready_jobs(&self) -> Vec<CallerJobId> {
-        self.ready.iter().map(|(_, _, id)| *id).collect()
+    pub fn ready_jobs(&self, now: MonoTime) -> Vec<CallerJobId> {
+        let mut ready: Vec<(JobRank, CallerJobId)> = self.ready_entries().map(|job| (job.rank(now), job.job.id)).collect();
+        ready.sort_unstable();
+        ready.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Returns the work that waits for workers and goes before a job of this rank, in core-seconds.
+    pub fn work_before(&self, now: MonoTime, rank: JobRank) -> f64 {
+        self.ready_entries().filter(|job| job.rank(now) < rank).map(JobEntry::waiting_work).sum()
+    }
+
+    fn ready_entries(&self) -> impl Iterator<Item = &JobEntry> {
+        self.ready.iter().filter_map(|id| self.jobs.get(id))
     }
 
     /// Notes that a waiting task is sent to an agent; returns the run.
@@ -251,9 +259,8 @@
     }
 
     fn remove(&mut self, id: &CallerJobId) {
-        if let Some(job) = self.jobs.remove(id) {
-            self.ready.remove(&ready_key(&job));
-        }
+        self.jobs.remove(id);
+        self.ready.remove(id);
     }
 
     /// Brings the order of placement up to date with a job.
@@ -261,15 +268,10 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let key = ready_key(job);
         if job.is_live() && !job.ready_tasks().is_empty() {
-            self.ready.insert(key);
+            self.ready.insert(*id);
         } else {
-            self.ready.remove(&key);
+            self.ready.remove(id);
         }
     }
 }
-
-fn ready_key(job: &JobEntry) -> ReadyKey {
-    (job.route.priority, job.wanted_at, job.job.id)
-}
--- a/crates/runs/src/entry/job_entry.rs
+++ b/crates/runs/src/entry/job_entry.rs
@@ -1,7 +1,6 @@
 //! One open job: its tasks, who waits for it and when it is due.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::caller_job::{CallerJob, RunId, TaskId};
@@ -10,6 +9,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_calls::JobPhase;
+use super::job_order::{JobRank, JobTimes};
 
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,10 +51,8 @@
     pub route: Arc<RouteRule>,
     /// When it came.
     pub arrived_at: MonoTime,
-    /// When its answer is wanted.
-    pub wanted_at: MonoTime,
-    /// When nobody waits for it any more.
-    pub give_up_at: MonoTime,
+    /// When it was asked for and is due.
+    pub times: JobTimes,
     /// Who waits for the answer; nobody while the job is being wound down.
     pub waiters: Vec<ReplyId>,
     /// The tasks of each step.
@@ -71,15 +69,14 @@
 
 impl JobEntry {
     /// Returns a job of which nothing has run.
-    pub fn new(job: Arc<CallerJob>, route: Arc<RouteRule>, now: MonoTime, wanted_in: Duration, patience: Duration) -> Self {
+    pub fn new(job: Arc<CallerJob>, route: Arc<RouteRule>, now: MonoTime, times: JobTimes) -> Self {
         let slot = TaskSlot { state: SlotState::Waiting, runs: 0, failures: 0, avoided: Vec::new() };
         let steps = job.steps.iter().map(|step| vec![slot.clone(); usize::from(step.count)]).collect();
         Self {
             job,
             route,
             arrived_at: now,
-            wanted_at: now + wanted_in,
-            give_up_at: now + patience,
+            times,
             waiters: Vec::new(),
             steps,
             has_run: false,
@@ -144,6 +141,18 @@
         sent.collect()
     }
 
+    /// Returns the job's place among the waiting ones; lower goes first.
+    pub fn rank(&self, now: MonoTime) -> JobRank {
+        self.times.rank(now, self.route.priority)
+    }
+
+    /// Returns the work of the tasks that wait for a worker, in core-seconds.
+    pub fn waiting_work(&self) -> f64 {
+        let cores: f64 =
+            self.ready_tasks().iter().map(|task| self.job.steps[usize::from(task.step)].demand.millicores as f64 / 1_000.0).sum();
+        cores * self.times.expected.as_secs_f64()
+    }
+
     /// Returns what callers are told of the job.
     pub fn phase(&self) -> JobPhase {
         match self.verdict {
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -166,6 +166,19 @@
         best.map(|room| &room.agent)
     }
 
+    /// Returns whether any worker that may be used has room at all.
+    pub fn has_room(&self, now: MonoTime) -> bool {
+        self.rooms.values().any(|room| room.is_usable(now) && room.room().millicores > 0)
+    }
+
+    /// Returns the cores of the sound workers of a service in zones that are in service.
+    pub fn capacity_of(&self, now: MonoTime, service: &ServiceName, zones_out: &BTreeSet<ZoneName>) -> f64 {
+        let sound =
+            self.rooms.values().filter(|room| !self.is_slow(now, room) && !zones_out.contains(&room.zone) && room.session.is_some());
+        let workers = sound.filter_map(|room| room.worker.as_ref()).filter(|worker| worker.service == *service && worker.is_ready);
+        workers.map(|worker| worker.capacity.millicores as f64 / 1_000.0).sum()
+    }
+
     /// Returns whether some worker of the service could ever hold a task.
     pub fn could_hold(&self, service: &ServiceName, demand: &ResourceAmount) -> bool {
         let workers = self.rooms.values().filter_map(|room| room.worker.as_ref());
--- a/crates/runs/tests/support/world.rs
+++ b/crates/runs/tests/support/world.rs
@@ -561,6 +561,7 @@
     let options = DispatchOptions {
         zone: zone_name(entry),
         terms: LeaseTerms::default(),
+        resubmit_after: RESUBMIT_AFTER,
         linger: Duration::from_secs(3),
         drain_max: Duration::from_secs(5),
     };
