Call starts and stops again after 25 ms, and let no hold speak of runs it could not list

A start is idempotent for its run, so it is called again at the same worker. Ruled out: the repeated start itself (the worker keeps one run).

--- a/crates/runs/src/agent/run_book.rs
+++ b/crates/runs/src/agent/run_book.rs
@@ -15,7 +15,12 @@
     /// Waits for room.
     Queued,
     /// The start was called and neither answered nor listed.
-    Starting,
+    Starting {
+        /// How often it was called.
+        tries: u32,
+        /// When it is called again.
+        retry_at: MonoTime,
+    },
     /// At work.
     Running {
         /// Share of the work done when the worker last listed it, in percent.
@@ -25,8 +30,8 @@
     },
     /// To be stopped.
     Stopping {
-        /// When the next stop call is due, if none is under way.
-        call_at: Option<MonoTime>,
+        /// When the next stop call is due.
+        call_at: MonoTime,
         /// When the worker took the stop.
         taken_at: Option<MonoTime>,
         /// Whether the start was given up for want of an answer.
@@ -43,7 +48,7 @@
     pub entry: SmolStr,
     /// What it occupies.
     pub demand: ResourceAmount,
-    /// The task's text, until the start is called.
+    /// The task's text.
     pub payload: SmolStr,
     /// Where it stands.
     pub state: RunState,
@@ -51,6 +56,8 @@
     pub ordered_at: MonoTime,
     /// When the start was called.
     pub called_at: MonoTime,
+    /// When the run was first known to be at work; holds made before may not list it yet.
+    pub known_at: Option<MonoTime>,
 }
 
 /// A `RunBook` holds the runs at one worker. A run occupies room from the start call until its end is known.
@@ -78,6 +85,11 @@
         Some(record)
     }
 
+    /// Returns a run.
+    pub fn get(&self, run: &RunId) -> Option<&RunRecord> {
+        self.runs.get(run)
+    }
+
     /// Returns a run.
     pub fn get_mut(&mut self, run: &RunId) -> Option<&mut RunRecord> {
         self.runs.get_mut(run)
@@ -117,7 +129,7 @@
                 let elapsed = Millis::from_duration(listed_at.since(record.called_at));
                 Some(RunProgress { run: *run, percent, elapsed })
             }
-            RunState::Queued | RunState::Starting | RunState::Stopping { .. } => None,
+            RunState::Queued | RunState::Starting { .. } | RunState::Stopping { .. } => None,
         });
         progress.collect()
     }
@@ -150,26 +162,36 @@
         match self.state {
             RunState::Queued => return true,
             RunState::Stopping { .. } => {}
-            RunState::Starting | RunState::Running { .. } => {
-                self.state = RunState::Stopping { call_at: Some(now), taken_at: None, is_unanswered };
+            RunState::Starting { .. } | RunState::Running { .. } => {
+                self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered };
             }
         }
         false
     }
 
+    /// Returns whether the start was called and neither answered nor listed.
+    pub fn is_starting(&self) -> bool {
+        matches!(self.state, RunState::Starting { .. })
+    }
+
     /// Returns whether the run can't be at work in a later life of the worker: it never left the agent, or the life that
     /// has ended had listed it.
     pub fn is_surely_of_life(&self) -> bool {
         match self.state {
             RunState::Queued => true,
             RunState::Running { listed_at, .. } => listed_at > self.called_at,
-            RunState::Starting | RunState::Stopping { .. } => false,
+            RunState::Starting { .. } | RunState::Stopping { .. } => false,
         }
     }
 
     /// Asks for the run to be stopped by the worker's next life, whatever the last one said.
     pub fn stop_again(&mut self, now: MonoTime) {
-        self.state = RunState::Stopping { call_at: Some(now), taken_at: None, is_unanswered: true };
+        self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered: true };
+    }
+
+    /// Notes that the worker will not start the run any more, and may have ended it: its lists tell.
+    pub fn await_lists(&mut self, now: MonoTime) {
+        self.state = RunState::Stopping { call_at: now, taken_at: Some(now), is_unanswered: true };
     }
 
     /// Returns the time since the start was called.
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -183,6 +183,7 @@
             RunnerEvent::Tick => {}
         }
         self.start_queued();
+        self.retry_starts();
         self.call_stops();
         self.keep_hold();
         self.flush_reports();
--- a/crates/runs/src/agent/runner/holding.rs
+++ b/crates/runs/src/agent/runner/holding.rs
@@ -19,8 +19,10 @@
 pub(super) const LOSSY_TIME: Duration = Duration::from_secs(2);
 /// Holds under way at once while calls go unanswered.
 const LOSSY_HOLDS: usize = 2;
-/// Time between a start call and a hold from which the hold's answer must list the run if it has begun.
-const LISTING_TIME: Duration = Duration::from_millis(15);
+/// Time beyond its wait from which a hold counts as lost and another one is made.
+const LOSS_TIME: Duration = Duration::from_millis(30);
+/// Most holds whose answers may still come.
+const HOLDS_MAX: usize = 12;
 /// Pause after a hold that was not answered.
 const HOLD_PAUSE: Duration = Duration::from_millis(50);
 
@@ -28,7 +30,7 @@
 #[derive(Debug, Default)]
 pub(super) struct HoldState {
     /// The calls under way: their numbers and when they were made.
-    pub calls: BTreeMap<u64, MonoTime>,
+    pub calls: BTreeMap<u64, HoldCall>,
     /// Number of the last call.
     pub last_number: u64,
     /// Until when calls are expected to go unanswered.
@@ -41,6 +43,15 @@
     pub failures: u32,
 }
 
+/// A `HoldCall` is a hold that was not answered yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HoldCall {
+    /// When it was made.
+    pub sent_at: MonoTime,
+    /// Longest time that the worker waits.
+    pub wait: Duration,
+}
+
 impl RunnerControl {
     /// Keeps a hold call under way while something runs or an end has to be acknowledged.
     pub(super) fn keep_hold(&mut self) {
@@ -51,7 +62,9 @@
         let is_wanted = !life.is_settled || self.book.has_given() || life.observed > life.acknowledged;
         let is_lossy = self.now < self.hold.lossy_until;
         let most = if is_lossy && life.is_settled { LOSSY_HOLDS } else { 1 };
-        if !is_wanted || self.hold.calls.len() >= most || self.now < self.hold.due_at {
+        let is_young = |call: &&HoldCall| self.now.since(call.sent_at) < call.wait + LOSS_TIME;
+        let young = self.hold.calls.values().filter(is_young).count();
+        if !is_wanted || young >= most || self.hold.calls.len() >= HOLDS_MAX || self.now < self.hold.due_at {
             return;
         }
         let is_renewing = life.is_settled && self.book.has_given() && self.hold.failures == 0;
@@ -69,7 +82,7 @@
         }
         self.hold.last_number += 1;
         let number = self.hold.last_number;
-        self.hold.calls.insert(number, self.now);
+        self.hold.calls.insert(number, HoldCall { sent_at: self.now, wait });
         self.call(WorkerCall::Hold { number, lease_end, observed, wait });
     }
 
@@ -88,7 +101,7 @@
     }
 
     pub(super) fn take_hold_reply(&mut self, number: u64, reply: HoldReply) {
-        let Some(sent_at) = self.hold.calls.remove(&number) else {
+        let Some(HoldCall { sent_at, .. }) = self.hold.calls.remove(&number) else {
             return;
         };
         match reply {
@@ -128,12 +141,13 @@
         let mut strangers = Vec::new();
         let listed_at = self.now;
         for task in &list.running {
-            match self.book.get_mut(&task.run).map(|record| &mut record.state) {
-                Some(state @ (RunState::Starting | RunState::Running { .. })) => {
-                    *state = RunState::Running { percent: task.percent, listed_at };
-                }
-                Some(_) => {}
-                None => strangers.push(task.run),
+            let Some(record) = self.book.get_mut(&task.run) else {
+                strangers.push(task.run);
+                continue;
+            };
+            if matches!(record.state, RunState::Starting { .. } | RunState::Running { .. }) {
+                record.known_at.get_or_insert(listed_at);
+                record.state = RunState::Running { percent: task.percent, listed_at };
             }
         }
         if strangers.is_empty() {
@@ -152,10 +166,9 @@
     fn settle_missing(&mut self, sent_at: MonoTime, list: &RunList) {
         let is_listed = |run: &RunId| list.running.iter().any(|task| task.run == *run);
         let mut missing = Vec::new();
-        let now = self.now;
-        for (run, record) in self.book.iter_mut() {
+        for (run, record) in self.book.iter() {
             let outcome = match record.state {
-                RunState::Running { .. } if record.called_at < sent_at => RunOutcome::Lost,
+                RunState::Running { .. } if record.known_at.is_some_and(|at| at < sent_at) => RunOutcome::Lost,
                 RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
                     if is_unanswered {
                         RunOutcome::Unanswered
@@ -163,10 +176,6 @@
                         RunOutcome::Stopped
                     }
                 }
-                RunState::Starting if record.called_at + LISTING_TIME <= sent_at && !is_listed(run) => {
-                    record.stop(now, true);
-                    continue;
-                }
                 _ => continue,
             };
             if !is_listed(run) {
--- a/crates/runs/src/agent/runner/ordering.rs
+++ b/crates/runs/src/agent/runner/ordering.rs
@@ -8,14 +8,19 @@
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 
+use super::holding::LOSSY_TIME;
 use super::RunnerControl;
 use crate::agent::calls::{StartRefusal, StartReply, StopReply, WorkerCall};
 use crate::agent::run_book::{RunRecord, RunState};
 
 /// Time to an answer from which a worker on the same host counts as silent; it answers in about a millisecond.
 const ANSWER_TIME_MAX: Duration = Duration::from_millis(50);
+/// Time without an answer from which a start or a stop is called again.
+const RETRY_TIME: Duration = Duration::from_millis(25);
+/// Calls of a start after which it is given up.
+const START_TRIES_MAX: u32 = 6;
 /// Longest time that a start waits here for room; its entry may have a better place by then.
-const QUEUE_WAIT_MAX: Duration = Duration::from_millis(100);
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(40);
 
 impl RunnerControl {
     pub(super) fn take_frame(&mut self, session: SessionId, frame: OrderFrame) {
@@ -60,6 +65,7 @@
             state: RunState::Queued,
             ordered_at: self.now,
             called_at: self.now,
+            known_at: None,
         };
         if self.book.add(start.run, record) && !may_start {
             self.finish_run(&start.run, RunOutcome::Closed);
@@ -77,7 +83,7 @@
     /// share its fate, and their entries can place them elsewhere.
     fn is_worker_silent(&self) -> bool {
         let is_overdue = |called_at: MonoTime| self.heard_at < called_at && self.now.since(called_at) >= ANSWER_TIME_MAX;
-        self.book.iter().any(|(_, record)| record.state == RunState::Starting && is_overdue(record.called_at))
+        self.book.iter().any(|(_, record)| record.is_starting() && is_overdue(record.called_at))
     }
 
     /// Calls the starts that have room, in the order in which they came.
@@ -108,39 +114,77 @@
             }
             return;
         }
-        record.state = RunState::Starting;
+        record.state = RunState::Starting { tries: 1, retry_at: now + RETRY_TIME };
         record.called_at = now;
-        let payload = std::mem::take(&mut record.payload);
+        let payload = record.payload.clone();
         self.hold.extended_at = now;
         self.call(WorkerCall::Start { run: *run, payload, lease_end });
     }
 
+    /// Calls starts again that are not answered: a run that is there already stays one run. After some tries the start
+    /// is given up and stopped.
+    pub(super) fn retry_starts(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (run, record) in self.book.iter_mut() {
+            let RunState::Starting { tries, retry_at } = &mut record.state else {
+                continue;
+            };
+            if now < *retry_at {
+                continue;
+            }
+            if *tries >= START_TRIES_MAX {
+                record.stop(now, true);
+                continue;
+            }
+            (*tries, *retry_at) = (*tries + 1, now + RETRY_TIME);
+            due.push((*run, record.payload.clone()));
+        }
+        for (run, payload) in due {
+            let lease_end = self.life.as_ref().map_or(0, |life| life.clock.lease_end(now, self.options.terms.worker_lease));
+            self.hold.extended_at = now;
+            self.hold.lossy_until = now + LOSSY_TIME;
+            self.call(WorkerCall::Start { run, payload, lease_end });
+        }
+    }
+
     pub(super) fn take_start_reply(&mut self, run: RunId, reply: StartReply) {
         match reply {
             StartReply::Started(clock) => {
                 self.note_clock(clock);
-                let record = self.book.get_mut(&run).filter(|record| record.state == RunState::Starting);
+                let record = self.book.get_mut(&run).filter(|record| record.is_starting());
                 if let Some(record) = record {
                     record.state = RunState::Running { percent: 0, listed_at: self.now };
                     record.called_at = self.now;
+                    record.known_at = Some(self.now);
                 }
             }
             StartReply::Refused(refusal, clock) => {
                 self.note_clock(clock);
-                if refusal == StartRefusal::Fenced {
-                    self.raise_token();
-                }
-                self.finish_run(&run, refused_outcome(refusal));
+                self.take_refusal(&run, refusal);
             }
-            StartReply::Shed => self.finish_run(&run, RunOutcome::Shed),
+            StartReply::Shed if self.is_starting_once(&run) => self.finish_run(&run, RunOutcome::Shed),
             StartReply::OtherLife => self.end_life("other_life"),
-            StartReply::Unanswered => {
-                let now = self.now;
-                let record = self.book.get_mut(&run).filter(|record| record.state == RunState::Starting);
-                if let Some(record) = record {
-                    record.stop(now, true);
-                }
-            }
+            // The next try, or the end of the tries, decides.
+            StartReply::Shed | StartReply::Unanswered => {}
+        }
+    }
+
+    fn is_starting_once(&self, run: &RunId) -> bool {
+        self.book.get(run).is_some_and(|record| matches!(record.state, RunState::Starting { tries: 1, .. }))
+    }
+
+    fn take_refusal(&mut self, run: &RunId, refusal: StartRefusal) {
+        if refusal == StartRefusal::Fenced {
+            self.raise_token();
+        }
+        let now = self.now;
+        match self.book.get_mut(run).filter(|record| record.is_starting()) {
+            None => {}
+            // An earlier try may have begun: only the worker's lists tell how the run went.
+            Some(record) if refusal == StartRefusal::Outdated => record.await_lists(now),
+            Some(record) if !matches!(record.state, RunState::Starting { tries: 1, .. }) => drop(record.stop(now, true)),
+            Some(_) => self.finish_run(run, refused_outcome(refusal)),
         }
     }
 
@@ -161,8 +205,8 @@
         let mut due = Vec::new();
         for (run, record) in self.book.iter_mut() {
             if let RunState::Stopping { call_at, taken_at: None, .. } = &mut record.state {
-                if call_at.is_some_and(|at| now >= at) {
-                    *call_at = None;
+                if now >= *call_at {
+                    *call_at = now + RETRY_TIME;
                     due.push(*run);
                 }
             }
@@ -179,22 +223,13 @@
                     *taken_at = Some(now);
                 }
             }
-            StopReply::Fenced => {
-                self.raise_token();
-                self.retry_stop(run);
-            }
-            StopReply::Unanswered => self.retry_stop(run),
+            StopReply::Fenced => self.raise_token(),
+            // The next call decides.
+            StopReply::Unanswered => {}
             StopReply::OtherLife => self.end_life("other_life"),
         }
     }
 
-    fn retry_stop(&mut self, run: RunId) {
-        let now = self.now;
-        if let Some(RunState::Stopping { call_at, .. }) = self.book.get_mut(&run).map(|record| &mut record.state) {
-            *call_at = Some(now);
-        }
-    }
-
     /// Notes the end of a run and reports it to its entry.
     pub(super) fn finish_run(&mut self, run: &RunId, outcome: RunOutcome) {
         let Some(record) = self.book.remove(run) else {
