--- a/crates/runs/src/agent/runner/ordering.rs
+++ b/crates/runs/src/agent/runner/ordering.rs
@@ -20,7 +20,7 @@
 /// Calls of a start after which it is given up.
 const START_TRIES_MAX: u32 = 6;
 /// Longest time that a start waits here for room; its entry may have a better place by then.
-const QUEUE_WAIT_MAX: Duration = Duration::from_millis(40);
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(10);
 
 impl RunnerControl {
     pub(super) fn take_frame(&mut self, session: SessionId, frame: OrderFrame) {
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -12,6 +12,10 @@
 /// Time between two reports on a session; a third of the session's lease, so that renewals overlap.
 const REPORT_PERIOD: Duration = Duration::from_millis(120);
 
+/// Shortest time between two reports that only tell of room, for each session that stands: the sum over all entries
+/// stays bounded as entries are added.
+const ROOM_PERIOD_EACH: Duration = Duration::from_millis(15);
+
 impl RunnerControl {
     pub(super) fn open_session(&mut self, session: SessionId, address: SmolStr) {
         self.dialer.note_up(&address);
@@ -76,8 +80,11 @@
         let offer = self.life.as_ref().map(|life| life.to_offer());
         let is_closed = !self.is_open();
         let now = self.now;
+        let room_period = REPORT_PERIOD.min(ROOM_PERIOD_EACH * self.sessions.len() as u32);
         for (session, lease) in &mut self.sessions {
-            let is_due = lease.reported_at.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
+            let others = self.book.used().less(&self.book.used_by(*session));
+            let period = if lease.told_others == others { REPORT_PERIOD } else { room_period };
+            let is_due = lease.reported_at.is_none_or(|at| now.since(at) >= period);
             if !is_due && lease.ends.is_empty() && lease.told == offer && lease.told_closed == is_closed {
                 continue;
             }
@@ -92,6 +99,7 @@
             };
             lease.told.clone_from(&offer);
             lease.told_closed = is_closed;
+            lease.told_others = others;
             self.actions.push(RunnerAction::Send { session: *session, frame: RunFrame::Report(report) });
         }
     }
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::run_frames::{RunEnd, WorkerOffer};
 use vanillacleat_core::units::MonoTime;
 
@@ -23,6 +24,8 @@
     pub told: Option<WorkerOffer>,
     /// Whether the entry was last told that no starts are taken.
     pub told_closed: bool,
+    /// What the entry was last told that other entries have taken.
+    pub told_others: ResourceAmount,
     /// When the last report was sent.
     pub reported_at: Option<MonoTime>,
     questions: VecDeque<(u64, MonoTime)>,
@@ -39,6 +42,7 @@
             ends: Vec::new(),
             told: None,
             told_closed: true,
+            told_others: ResourceAmount::default(),
             reported_at: None,
             questions: VecDeque::new(),
             next_nonce: 0,
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -147,7 +147,8 @@
 
     /// Returns the worker for a task, or nothing while none has room. The preferred one is the last that a task of the
     /// same job went to: a job that touches few workers is hit by few bad ones. Then the nearer zone goes first, so
-    /// that entries that don't see each other's starts choose from different workers, then the larger room.
+    /// that entries that don't see each other's starts choose from different workers, then the larger room. The last
+    /// free part of a worker in another zone is left to that zone's entries as long as there is room elsewhere.
     pub fn choose(
         &self,
         now: MonoTime,
@@ -160,8 +161,9 @@
         let candidates = self.rooms.values().filter(|room| is_candidate(now, zones_out, request, room)).filter(is_sound);
         let best = candidates.min_by_key(|room| {
             let is_far = request.preferred_rack.is_some_and(|rack| !has_label(room, rack));
+            let is_contended = room.zone != *zone && !request.demand.fits(&room.shared_room());
             let millicores = room.room().millicores;
-            (is_far, last != Some(&room.agent), room.zone != *zone, u64::MAX - millicores)
+            (is_far, is_contended, last != Some(&room.agent), room.zone != *zone, u64::MAX - millicores)
         });
         best.map(|room| &room.agent)
     }
--- a/crates/runs/src/entry/worker_room.rs
+++ b/crates/runs/src/entry/worker_room.rs
@@ -13,6 +13,9 @@
 /// Pause in placing after the worker's agent refused a start.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
 
+/// Part of a worker that is left to the entries of its own zone, in percent.
+const RESERVED_PERCENT: u64 = 20;
+
 /// A `WorkerRoom` is a worker with the room that it has for this entry.
 #[derive(Clone, Debug)]
 pub struct WorkerRoom {
@@ -87,6 +90,12 @@
         capacity.less(&(self.others + self.own))
     }
 
+    /// Returns the room of which entries of other zones make use without contending for the last of it.
+    pub fn shared_room(&self) -> ResourceAmount {
+        let millicores = self.worker.as_ref().map_or(0, |worker| worker.capacity.millicores * RESERVED_PERCENT / 100);
+        self.room().less(&ResourceAmount { millicores, ..ResourceAmount::default() })
+    }
+
     /// Returns whether starts may be sent there at `now`.
     pub fn is_usable(&self, now: MonoTime) -> bool {
         let is_ready = self.worker.as_ref().is_some_and(|worker| worker.is_ready);
