--- a/crates/runs/tests/support/world.rs
+++ b/crates/runs/tests/support/world.rs
@@ -180,16 +180,16 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::TickEntry(entry) => {
-                self.to_entry(entry, self.entries[entry].run, DispatchEvent::Tick);
+                self.reach_entry(entry, self.entries[entry].run, DispatchEvent::Tick);
                 self.at(TICK, Happening::TickEntry(entry));
             }
             Happening::TickAgent(agent) => {
-                self.to_agent(agent, self.agents[agent].run, RunnerEvent::Tick);
+                self.reach_agent(agent, self.agents[agent].run, RunnerEvent::Tick);
                 self.at(TICK, Happening::TickAgent(agent));
             }
             Happening::Heartbeat(worker) => self.send_heartbeat(worker),
-            Happening::ToAgent(agent, run, event) => self.to_agent(agent, run, event),
-            Happening::ToEntry(entry, run, event) => self.to_entry(entry, run, event),
+            Happening::ToAgent(agent, run, event) => self.reach_agent(agent, run, event),
+            Happening::ToEntry(entry, run, event) => self.reach_entry(entry, run, event),
             Happening::Dialed(agent, run, entry) => self.connect(agent, run, entry),
             Happening::SessionEnds(session) => self.end_session(session),
             Happening::Called(worker, run, life, token, call) => self.call_worker(worker, run, life, token, call),
@@ -224,7 +224,7 @@
         Duration::from_micros(self.rng.random_range(200..2_000))
     }
 
-    fn to_entry(&mut self, entry: usize, run: u64, event: DispatchEvent) {
+    fn reach_entry(&mut self, entry: usize, run: u64, event: DispatchEvent) {
         let process = &mut self.entries[entry];
         if process.run != run || !process.is_up {
             return;
@@ -283,7 +283,7 @@
         self.at(wait, Happening::ToEntry(entry, run, DispatchEvent::Frame { session, frame }));
     }
 
-    fn to_agent(&mut self, agent: usize, run: u64, event: RunnerEvent) {
+    fn reach_agent(&mut self, agent: usize, run: u64, event: RunnerEvent) {
         let process = &mut self.agents[agent];
         if process.run != run || !process.is_up {
             return;
@@ -335,12 +335,12 @@
             return;
         }
         if !self.entries[entry].is_up || is_cut || self.now < self.entries[entry].frozen_until {
-            return self.to_agent(agent, run, RunnerEvent::SessionGone { session: None, address });
+            return self.reach_agent(agent, run, RunnerEvent::SessionGone { session: None, address });
         }
         let number = self.sessions.len() as u64 + 1;
         let names = (SessionId(number * 2), SessionId(number * 2 + 1));
         self.sessions.push(WorldSession { agent, entry, names, is_open: true });
-        self.to_agent(agent, run, RunnerEvent::SessionUp { session: names.1, address });
+        self.reach_agent(agent, run, RunnerEvent::SessionUp { session: names.1, address });
     }
 
     fn end_session(&mut self, index: usize) {
@@ -375,7 +375,7 @@
             is_ready: !self.draining[worker],
             cold: Millis(0),
         };
-        self.to_agent(worker, self.agents[worker].run, RunnerEvent::Announced(notice));
+        self.reach_agent(worker, self.agents[worker].run, RunnerEvent::Announced(notice));
         self.at(HEARTBEAT, Happening::Heartbeat(worker));
     }
 
@@ -535,7 +535,7 @@
     fn restart_entry(&mut self, entry: usize) {
         let run = self.entries[entry].run + 1;
         self.entries[entry] = make_entry(self.now, entry, run);
-        self.to_entry(entry, run, DispatchEvent::PlanRead(self.plan.clone()));
+        self.reach_entry(entry, run, DispatchEvent::PlanRead(self.plan.clone()));
     }
 
     fn restart_agent(&mut self, agent: usize) {
--- a/crates/runs/tests/worker_calls.rs
+++ b/crates/runs/tests/worker_calls.rs
@@ -163,5 +163,5 @@
     bench.order(10);
     bench.answer_start(12, StartReply::Started(50_012));
     bench.tell(900, RunnerEvent::Tick);
-    assert!(bench.calls.iter().any(|call| *call == WorkerCall::Stop { run: RUN }));
+    assert!(bench.calls.contains(&WorkerCall::Stop { run: RUN }));
 }
