--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -72,6 +72,16 @@
         #[bpaf(positional("ADDRESS"))]
         address: SocketAddr,
     },
+    /// Prints the story of one request in order, from the logs of all processes
+    #[bpaf(command)]
+    Explain {
+        /// The request's id
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files, one for each process; standard input where there are none
+        #[bpaf(positional("LOG"))]
+        files: Vec<PathBuf>,
+    },
     /// Checks a settings file of an entry or an agent
     #[bpaf(command)]
     Check {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod commands;
 pub mod deployment;
+pub mod explain;
 pub mod load;
 pub mod measure;
 pub mod operators;
@@ -30,6 +31,7 @@
         CliCommand::Apply { target, sheet } => operators::apply_sheet(&target, &sheet),
         CliCommand::Config(show) => operators::show_config(&show),
         CliCommand::Dump { address } => operators::dump(address),
+        CliCommand::Explain { id, files } => explain::explain(&id, &files),
         CliCommand::Check { settings } => operators::check_settings(&settings),
     };
     match outcome {
--- a/crates/runs/src/agent/run_book.rs
+++ b/crates/runs/src/agent/run_book.rs
@@ -1,6 +1,6 @@
 //! The runs at one worker, from the order to the end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -9,6 +9,9 @@
 use vanillacleat_core::run_frames::RunProgress;
 use vanillacleat_core::units::{Millis, MonoTime};
 
+/// Time for which ended runs are remembered; no call of a worker stays open longer.
+const ENDED_AGE_MAX: Duration = Duration::from_millis(1_000);
+
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -65,6 +68,7 @@
 pub struct RunBook {
     runs: BTreeMap<RunId, RunRecord>,
     used: ResourceAmount,
+    ended: VecDeque<(MonoTime, RunId)>,
 }
 
 impl RunBook {
@@ -79,12 +83,21 @@
     }
 
     /// Removes a run that has ended.
-    pub fn remove(&mut self, run: &RunId) -> Option<RunRecord> {
+    pub fn remove(&mut self, now: MonoTime, run: &RunId) -> Option<RunRecord> {
         let record = self.runs.remove(run)?;
         self.used -= record.demand;
+        self.ended.push_back((now, *run));
+        while self.ended.front().is_some_and(|(at, _)| now.since(*at) >= ENDED_AGE_MAX) {
+            self.ended.pop_front();
+        }
         Some(record)
     }
 
+    /// Returns whether a run ended at `since` or later; calls made before may still show it at work.
+    pub fn has_ended_since(&self, run: &RunId, since: MonoTime) -> bool {
+        self.ended.iter().any(|(at, ended)| ended == run && *at >= since)
+    }
+
     /// Returns a run.
     pub fn get(&self, run: &RunId) -> Option<&RunRecord> {
         self.runs.get(run)
--- a/crates/runs/src/agent/runner/holding.rs
+++ b/crates/runs/src/agent/runner/holding.rs
@@ -132,17 +132,19 @@
                 self.finish_run(&run, end.outcome);
             }
         }
-        self.take_running(list);
+        self.take_running(sent_at, list);
         self.settle_missing(sent_at, list);
     }
 
     /// Takes what is at work; runs that nobody here ordered are stopped.
-    fn take_running(&mut self, list: &RunList) {
+    fn take_running(&mut self, sent_at: MonoTime, list: &RunList) {
         let mut strangers = Vec::new();
         let listed_at = self.now;
         for task in &list.running {
             let Some(record) = self.book.get_mut(&task.run) else {
-                strangers.push(task.run);
+                if !self.book.has_ended_since(&task.run, sent_at) {
+                    strangers.push(task.run);
+                }
                 continue;
             };
             if matches!(record.state, RunState::Starting { .. } | RunState::Running { .. }) {
--- a/crates/runs/src/agent/runner/ordering.rs
+++ b/crates/runs/src/agent/runner/ordering.rs
@@ -232,7 +232,7 @@
 
     /// Notes the end of a run and reports it to its entry.
     pub(super) fn finish_run(&mut self, run: &RunId, outcome: RunOutcome) {
-        let Some(record) = self.book.remove(run) else {
+        let Some(record) = self.book.remove(self.now, run) else {
             return;
         };
         let ran = Millis::from_duration(record.ran(self.now));
--- a/crates/runs/tests/worker_calls.rs
+++ b/crates/runs/tests/worker_calls.rs
@@ -165,3 +165,26 @@
     bench.tell(900, RunnerEvent::Tick);
     assert!(bench.calls.contains(&WorkerCall::Stop { run: RUN }));
 }
+
+#[test]
+fn an_earlier_hold_makes_no_ended_run_a_stranger() {
+    let mut bench = Bench::new();
+    bench.order(10);
+    bench.tell(36, RunnerEvent::Tick);
+    let early = bench.last_hold();
+    bench.tell(150, RunnerEvent::Tick);
+    bench.list(160, bench.last_hold(), &[], &[(1, RunOutcome::Done)]);
+    bench.list(161, early, &[RUN], &[]);
+    assert_eq!(bench.outcomes(), vec![RunOutcome::Done]);
+    assert!(!bench.calls.contains(&WorkerCall::Stop { run: RUN }));
+}
+
+#[test]
+fn strangers_are_stopped() {
+    let mut bench = Bench::new();
+    bench.order(10);
+    bench.answer_start(12, StartReply::Started(50_012));
+    let stranger = RunId { run: 9, ..RUN };
+    bench.list(60, bench.last_hold(), &[RUN, stranger], &[]);
+    assert!(bench.calls.contains(&WorkerCall::Stop { run: stranger }));
+}
