--- a/crates/runs/src/agent/runner/holding.rs
+++ b/crates/runs/src/agent/runner/holding.rs
@@ -69,7 +69,7 @@
         }
         let is_renewing = life.is_settled && self.book.has_given() && self.hold.failures == 0;
         let lease_end = is_renewing.then(|| life.clock.lease_end(self.now, self.options.terms.worker_lease));
-        let is_stopping = |state: &RunState| matches!(state, RunState::Stopping { taken_at: Some(_), .. });
+        let is_stopping = |state: &RunState| matches!(state, RunState::Stopping { .. });
         let is_hurried = is_lossy || self.book.iter().any(|(_, record)| is_stopping(&record.state));
         let wait = match is_renewing {
             true if is_hurried => SHORT_WAIT,
