--- a/crates/runs/tests/slow_workers.rs
+++ b/crates/runs/tests/slow_workers.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use smol_str::SmolStr;
 use vanillacleat_core::caller_job::CallerJobId;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_runs::entry::{find_threshold, RunForecast, WorkerPace};
+use vanillacleat_runs::entry::{find_threshold, RouteTimes, RunForecast, WorkerPace};
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -63,3 +64,14 @@
     pace.note_fault(start + millis(1_700));
     assert!(!pace.is_failing(start + millis(1_700)), "successes count against failures");
 }
+
+#[test]
+fn run_times_are_learned_from_many_tasks() {
+    let (mut times, route) = (RouteTimes::default(), SmolStr::new_static("bids"));
+    times.note(&route, millis(100), millis(600));
+    assert_eq!(times.expect(&route, millis(100)), millis(200), "one odd task decides nothing");
+    (0..200).for_each(|_| times.note(&route, millis(100), millis(300)));
+    assert!((millis(299)..millis(301)).contains(&times.expect(&route, millis(100))));
+    times.note(&route, Duration::ZERO, millis(300));
+    assert_eq!(times.expect(&SmolStr::new_static("other"), millis(100)), millis(100));
+}
--- a/crates/runs/tests/support/world.rs
+++ b/crates/runs/tests/support/world.rs
@@ -11,7 +11,7 @@
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{ResourceAmount, RunId};
 use vanillacleat_core::ids::{Incarnation, ZoneName};
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunOutcome};
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::site_plan::{RouteRule, RouteTable, SitePlan};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime, Revision};
 use vanillacleat_runs::agent::{
@@ -604,6 +604,3 @@
     let table = RouteTable { version: Revision(1), routes: vec![Arc::new(route)], body_bytes_max: 100_000 };
     SitePlan { table: Some(Arc::new(table)), zones_revision: 1, ..SitePlan::default() }
 }
-
-/// The outcome that a task's end is checked by.
-pub const DONE: RunOutcome = RunOutcome::Done;
