--- a/crates/agent/src/control_loop.rs
+++ b/crates/agent/src/control_loop.rs
@@ -5,37 +5,19 @@
 use std::time::Duration;
 
 use tokio::runtime::Handle;
-use tokio::sync::oneshot;
 use vanillacleat_control::agent::{AgentAction, AgentControl, AgentEvent};
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::AgentId;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::{ControlStep, EventOutlet};
+use vanillacleat_daemon::ControlStep;
 
-use crate::sessions::{dial_entry, SessionWriter};
+use crate::agent_input::{AgentInput, Outlet, SessionWriter};
+use crate::sessions::dial_entry;
 use crate::upstream_calls::UpstreamCaller;
 
 /// Time given to the last frames before a drained agent exits.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
-/// An `AgentInput` is what the control thread takes.
-#[derive(Debug)]
-pub(crate) enum AgentInput {
-    /// An event for the control state.
-    Event(AgentEvent),
-    /// A session's writer, before the session's first event.
-    Opened(SessionId, SessionWriter),
-    /// A question whether work is taken.
-    Health(oneshot::Sender<bool>),
-    /// A request for the state.
-    Dump(oneshot::Sender<serde_json::Value>),
-    /// The daemon is dropped.
-    Stop,
-}
-
-/// Where traffic tasks hand their events.
-pub(crate) type Outlet = EventOutlet<AgentInput>;
-
 /// A `ControlLoop` owns the control state and everything that its actions need.
 pub(crate) struct ControlLoop {
     control: AgentControl,
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -11,7 +11,8 @@
 use vanillacleat_core::settings::AgentSettings;
 use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, ProcessHandle, ProcessRuntime, ThreadPause};
 
-use crate::control_loop::{AgentInput, ControlLoop};
+use crate::agent_input::AgentInput;
+use crate::control_loop::ControlLoop;
 use crate::http_api;
 
 /// Traffic threads of an agent.
--- a/crates/agent/src/http_api.rs
+++ b/crates/agent/src/http_api.rs
@@ -13,7 +13,7 @@
 use vanillacleat_core::outcome::RefusalCode;
 use vanillacleat_daemon::{launch_server, render_metrics, server_config, EventSender, ProblemReply, ServerError};
 
-use crate::control_loop::AgentInput;
+use crate::agent_input::AgentInput;
 
 type Events = State<EventSender<AgentInput>>;
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod agent_input;
 mod control_loop;
 mod daemon;
 mod http_api;
--- a/crates/agent/src/sessions.rs
+++ b/crates/agent/src/sessions.rs
@@ -5,17 +5,13 @@
 use smol_str::SmolStr;
 use vanillacleat_control::agent::AgentEvent;
 use vanillacleat_control::SessionId;
-use vanillacleat_core::frames::{AgentFrame, EntryFrame, Envelope};
-use vanillacleat_wire::{carry_session, make_queue, FrameReceiver, FrameSender, SessionQueue, WireConnection, WireError};
+use vanillacleat_core::frames::{EntryFrame, Envelope};
+use vanillacleat_wire::{carry_session, make_queue, FrameReceiver, FrameSender, WireConnection, WireError};
 
-use crate::control_loop::{AgentInput, Outlet};
+use crate::agent_input::{AgentInput, Outlet, SentFrame};
 
-type SentFrame = Envelope<AgentFrame>;
 type ReceivedFrame = Envelope<EntryFrame>;
 
-/// The frames to one entry.
-pub(crate) type SessionWriter = SessionQueue<SentFrame>;
-
 /// Opens a session with the entry at `address` and carries it until it ends.
 pub(crate) async fn dial_entry(session: SessionId, address: SmolStr, outlet: Outlet) {
     let opened = open_session(&address).await;
--- a/crates/agent/src/upstream_calls.rs
+++ b/crates/agent/src/upstream_calls.rs
@@ -9,7 +9,7 @@
 use vanillacleat_control::gate::StartOrder;
 use vanillacleat_core::outcome::{TaskOutcome, UnknownReason};
 
-use crate::control_loop::{AgentInput, Outlet};
+use crate::agent_input::{AgentInput, Outlet};
 
 /// Longest time to connect to an upstream on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/cli/src/load/driver.rs
+++ b/crates/cli/src/load/driver.rs
@@ -6,11 +6,10 @@
 use error_stack::{Report, ResultExt};
 use tokio::task::JoinHandle;
 use vanillacleat_client::{CallerClient, ClientError, ClientOptions};
-use vanillacleat_core::api::JobView;
 
 use super::faults::{apply_step, plan_steps, ChangeSeen};
 use super::process_time::thread_time;
-use super::report::{RunSeen, VariantReport};
+use super::report::{JobSeen, RunSeen, VariantReport};
 use super::settings::{FaultKind, LoadSettings, LoadVariant};
 use super::single_requests::{measure_added, AddedTimes};
 use super::workload::{plan_jobs, PlannedJob};
@@ -22,19 +21,6 @@
 /// Wait of a doubled submission.
 const DOUBLED_WAIT: Duration = Duration::from_millis(20);
 
-/// A `JobSeen` is a job as its caller saw it.
-#[derive(Clone, Debug)]
-pub struct JobSeen {
-    /// The job.
-    pub index: usize,
-    /// Time from the planned arrival to the answer.
-    pub response: Duration,
-    /// The answer, or the code of the refusal.
-    pub answer: Result<JobView, String>,
-    /// Whether a second submission through another entry had another answer.
-    pub is_differing: bool,
-}
-
 /// Runs one variant and returns what was seen.
 pub fn run_variant(settings: &LoadSettings, variant: &LoadVariant) -> Result<VariantReport, Report<CommandError>> {
     let options = DeploymentOptions {
--- a/crates/cli/src/load/report.rs
+++ b/crates/cli/src/load/report.rs
@@ -8,17 +8,30 @@
 use serde::Serialize;
 use vanillacleat_standin::StartRecord;
 
-use super::driver::JobSeen;
 use super::faults::ChangeSeen;
 use super::settings::{FaultKind, LoadSettings, LoadVariant};
 use super::single_requests::AddedTimes;
 use super::workload::PlannedJob;
+use vanillacleat_core::api::JobView;
 
 /// Time after an accepted change in which work may still start where it was taken out.
 const CHANGE_GRACE: Duration = Duration::from_secs(3);
 /// Ratios are recorded in thousandths.
 const RATIO_SCALE: f64 = 1_000.0;
 
+/// A `JobSeen` is a job as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct JobSeen {
+    /// The job.
+    pub index: usize,
+    /// Time from the planned arrival to the answer.
+    pub response: Duration,
+    /// The answer, or the code of the refusal.
+    pub answer: Result<JobView, String>,
+    /// Whether a second submission through another entry had another answer.
+    pub is_differing: bool,
+}
+
 /// A `RunSeen` is everything that was seen of one run.
 pub struct RunSeen {
     /// When the first job was due.
--- a/crates/control/src/entry/calls.rs
+++ b/crates/control/src/entry/calls.rs
@@ -4,11 +4,10 @@
 use vanillacleat_core::job::JobSpec;
 use vanillacleat_core::outcome::{CallRefusal, RefusalCode};
 use vanillacleat_core::ticket::Ticket;
-use vanillacleat_core::units::Millis;
 
 use super::events::EntryLog;
 use super::platform::{NameBinding, PlatformReply};
-use super::routing::TicketCall;
+use super::routing::{draining_refusal, TicketCall};
 use super::{CallerCall, CallerReply, EntryAction, EntryControl};
 use crate::admission::AdmissionView;
 use crate::ReplyId;
@@ -102,7 +101,3 @@
         policy.map_or(self.policy.queue_limit, |policy| policy.queue_limit.min(self.policy.queue_limit)) as usize
     }
 }
-
-pub(super) fn draining_refusal() -> CallRefusal {
-    CallRefusal::new(RefusalCode::Draining, "the entry is draining; use another").retry_after(Millis(100))
-}
--- a/crates/control/src/entry/requests.rs
+++ b/crates/control/src/entry/requests.rs
@@ -7,8 +7,8 @@
 use vanillacleat_core::ticket::Ticket;
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::calls::draining_refusal;
 use super::platform::NameBinding;
+use super::routing::draining_refusal;
 use super::routing::TicketCall;
 use super::{CallerReply, EntryControl, SharedSpec, INTERNAL_REPLIES};
 use crate::ReplyId;
--- a/crates/control/src/entry/routing.rs
+++ b/crates/control/src/entry/routing.rs
@@ -10,7 +10,6 @@
 use vanillacleat_core::ticket::Ticket;
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::calls::draining_refusal;
 use super::{CallerReply, EntryAction, EntryControl, SharedSpec, GOSSIP_PERIOD};
 use crate::ledger::{JobAdmission, JobPlace, LedgerFinding};
 use crate::{CallId, ReplyId};
@@ -227,3 +226,7 @@
         }
     }
 }
+
+pub(super) fn draining_refusal() -> CallRefusal {
+    CallRefusal::new(RefusalCode::Draining, "the entry is draining; use another").retry_after(Millis(100))
+}
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -6,45 +6,20 @@
 
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
-use vanillacleat_control::entry::{CallerCall, CallerReply, EntryAction, EntryControl, EntryCounters, EntryEvent};
+use vanillacleat_control::entry::{CallerReply, EntryAction, EntryControl, EntryCounters, EntryEvent};
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::frames::{AgentFrame, EntryFrame, Envelope, PeerCall, PeerReply};
+use vanillacleat_core::frames::{Envelope, PeerReply};
 use vanillacleat_core::ids::EntryId;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::{ControlStep, EventOutlet};
+use vanillacleat_daemon::ControlStep;
 use vanillacleat_etcd_gateway::PlatformClient;
-use vanillacleat_wire::SessionQueue;
 
+use crate::entry_input::{EntryInput, FrameQueue, Outlet};
 use crate::peer_calls::PeerCaller;
 
 /// Time given to the last replies before a drained entry exits.
 const FLUSH_TIME: Duration = Duration::from_millis(300);
 
-/// The frames to one agent.
-pub(crate) type FrameQueue = SessionQueue<Envelope<EntryFrame>>;
-
-/// An `EntryInput` is what the control thread takes.
-#[derive(Debug)]
-pub(crate) enum EntryInput {
-    /// An event for the control state.
-    Event(EntryEvent),
-    /// A call of a caller or an operator.
-    Call(CallerCall, oneshot::Sender<CallerReply>),
-    /// A call of a peer.
-    PeerCall(Envelope<PeerCall>, oneshot::Sender<Envelope<PeerReply>>),
-    /// An agent opened a session; its number is sent back.
-    Opened(FrameQueue, oneshot::Sender<SessionId>),
-    /// An agent's frame.
-    Frame(SessionId, Envelope<AgentFrame>),
-    /// An agent's session ended.
-    Gone(SessionId),
-    /// The daemon is dropped.
-    Stop,
-}
-
-/// Where traffic tasks hand their events.
-pub(crate) type Outlet = EventOutlet<EntryInput>;
-
 /// Who waits for a reply.
 enum ReplyTarget {
     Caller(oneshot::Sender<CallerReply>),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,7 +12,8 @@
 use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, ProcessHandle, ProcessRuntime, ThreadPause};
 use vanillacleat_etcd_gateway::{PlatformClient, PlatformOptions};
 
-use crate::control_loop::{ControlLoop, EntryInput};
+use crate::control_loop::ControlLoop;
+use crate::entry_input::EntryInput;
 use crate::{http_api, mesh_server};
 
 /// Traffic threads of an entry.
--- a/crates/entry/src/http_api.rs
+++ b/crates/entry/src/http_api.rs
@@ -16,7 +16,7 @@
 use vanillacleat_core::units::Millis;
 use vanillacleat_daemon::{launch_server, render_metrics, server_config, EventSender, ProblemReply, ServerError};
 
-use crate::control_loop::EntryInput;
+use crate::entry_input::EntryInput;
 
 type Events = State<EventSender<EntryInput>>;
 type Reply<T> = Result<Json<T>, ProblemReply>;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod control_loop;
 mod daemon;
+mod entry_input;
 mod http_api;
 mod mesh_server;
 mod peer_calls;
--- a/crates/entry/src/mesh_server.rs
+++ b/crates/entry/src/mesh_server.rs
@@ -8,7 +8,7 @@
 use vanillacleat_daemon::EventSender;
 use vanillacleat_wire::{accept_streams, carry_session, make_queue, CallStream, FrameSender, IncomingStream, SessionStream, WireError};
 
-use crate::control_loop::EntryInput;
+use crate::entry_input::EntryInput;
 
 type Events = EventSender<EntryInput>;
 
--- a/crates/entry/src/peer_calls.rs
+++ b/crates/entry/src/peer_calls.rs
@@ -14,7 +14,7 @@
 use vanillacleat_core::job::DEADLINE_MILLIS_MAX;
 use vanillacleat_wire::{WireConnection, WireError};
 
-use crate::control_loop::{EntryInput, Outlet};
+use crate::entry_input::{EntryInput, Outlet};
 
 /// Longest time of a call that the peer answers at once.
 const SHORT_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
