--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -53,18 +53,19 @@
             return;
         };
         let (payload, route, job_spec) = (job.job.payload.clone(), job.route.clone(), job.job.clone());
+        let workers = self.board.count_serving(&route.service);
         for task in job.ready_tasks() {
             let step = &job_spec.steps[usize::from(task.step)];
             let Some(entry) = self.book.get(id) else {
                 return;
             };
-            let avoided = &entry.steps[usize::from(task.step)][usize::from(task.index)].avoided;
+            let avoided = entry.shunned_agents(&task, workers);
             let request = RoomRequest {
                 service: &route.service,
                 demand: &step.demand,
                 required_label: step.required_label.as_ref(),
                 preferred_rack: step.preferred_rack.as_ref(),
-                avoided,
+                avoided: &avoided,
             };
             let last = entry.last_agent.as_ref();
             let chosen = self.board.choose(self.now, &self.options.zone, &self.plan.zones_out, &request, last);
--- a/crates/runs/src/entry/job_entry.rs
+++ b/crates/runs/src/entry/job_entry.rs
@@ -1,5 +1,6 @@
 //! One open job: its tasks, who waits for it and when it is due.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use vanillacleat_control::ReplyId;
@@ -91,6 +92,27 @@
         self.steps.get_mut(usize::from(task.step))?.get_mut(usize::from(task.index))
     }
 
+    /// Returns the workers that a task should not go to: it failed there, or they run as many tasks of its step as they may.
+    /// After it failed at all of the `workers`, none is better than another.
+    pub fn shunned_agents(&self, task: &TaskId, workers: usize) -> Vec<AgentId> {
+        let (step, slots) = (&self.job.steps[usize::from(task.step)], &self.steps[usize::from(task.step)]);
+        let mut shunned = slots[usize::from(task.index)].avoided.clone();
+        if shunned.len() >= workers {
+            shunned.clear();
+        }
+        if step.per_worker_max > 0 {
+            let mut running: BTreeMap<&AgentId, u32> = BTreeMap::new();
+            for slot in slots {
+                if let SlotState::Sent { agent, .. } = &slot.state {
+                    *running.entry(agent).or_default() += 1;
+                }
+            }
+            let full = running.into_iter().filter(|(_, count)| *count >= step.per_worker_max);
+            shunned.extend(full.map(|(agent, _)| agent.clone()));
+        }
+        shunned
+    }
+
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
         self.slots().all(|slot| slot.state == SlotState::Done)
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -181,11 +181,10 @@
         workers.map(|worker| worker.capacity.millicores as f64 / 1_000.0).sum()
     }
 
-    /// Returns whether some worker of the service could ever hold a task.
-    pub fn could_hold(&self, service: &ServiceName, demand: &ResourceAmount) -> bool {
-        let workers = self.rooms.values().filter_map(|room| room.worker.as_ref());
-        let mut serving = workers.filter(|worker| worker.service == *service);
-        serving.any(|worker| demand.fits(&worker.capacity))
+    /// Returns how many workers of a service are connected.
+    pub fn count_serving(&self, service: &ServiceName) -> usize {
+        let connected = self.rooms.values().filter(|room| room.session.is_some());
+        connected.filter(|room| room.worker.as_ref().is_some_and(|worker| worker.service == *service)).count()
     }
 }
 
--- /dev/null
+++ b/crates/runs/tests/placement.rs
@@ -0,0 +1,145 @@
+//! Where an entry sends the tasks of a job.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
+use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, WorkerOffer};
+use vanillacleat_core::site_plan::{RouteRule, RouteTable, SitePlan};
+use vanillacleat_core::units::{Megabytes, Millis, MonoTime, Revision};
+use vanillacleat_runs::entry::{
+    CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, JobDraft, RequestKind,
+};
+use vanillacleat_runs::LeaseTerms;
+
+/// An entry in zone 0 with one worker in each of three zones, and the starts that it has sent to each.
+struct Bench {
+    entry: DispatchControl,
+    starts: BTreeMap<u64, usize>,
+    answers: Vec<CallerAnswer>,
+    last_session: Option<SessionId>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let options = DispatchOptions {
+            zone: "zone-0".parse().expect("a valid name"),
+            terms: LeaseTerms::default(),
+            resubmit_after: Duration::from_millis(1_300),
+            linger: Duration::from_secs(3),
+            drain_max: Duration::from_secs(5),
+        };
+        let mut bench = Self { entry: DispatchControl::new(options), starts: BTreeMap::new(), answers: Vec::new(), last_session: None };
+        bench.tell(DispatchEvent::PlanRead(plan()));
+        (0..3).for_each(|number| bench.add_worker(number));
+        bench
+    }
+
+    fn add_worker(&mut self, number: u64) {
+        let session = SessionId(number);
+        let hello = RunHello {
+            agent: format!("agent-{number}").parse().expect("a valid name"),
+            incarnation: Incarnation(1),
+            zone: format!("zone-{number}").parse().expect("a valid name"),
+            plan_version: 0,
+            unsettled: Vec::new(),
+        };
+        let worker = WorkerOffer {
+            worker: SmolStr::new(format!("i-{number}")),
+            service: "desk".parse().expect("a valid name"),
+            capacity: ResourceAmount { millicores: 32_000, memory: Megabytes(1_000), accelerators: 0 },
+            labels: vec![SmolStr::new(format!("r-{number}"))],
+            is_ready: true,
+            cold: Millis(0),
+        };
+        let report = RunReport { nonce: 1, worker: Some(worker), ..RunReport::default() };
+        self.tell(DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) });
+        self.tell(DispatchEvent::Frame { session, frame: RunFrame::Report(report) });
+    }
+
+    fn tell(&mut self, event: DispatchEvent) {
+        for action in self.entry.handle(MonoTime::from_millis(10), event) {
+            match action {
+                DispatchAction::Send { session, frame: OrderFrame::Orders(orders) } => {
+                    *self.starts.entry(session.0).or_default() += orders.starts.len();
+                    if !orders.starts.is_empty() {
+                        self.last_session = Some(session);
+                    }
+                }
+                DispatchAction::Reply { answer, .. } => self.answers.push(answer),
+                _ => {}
+            }
+        }
+    }
+
+    fn submit(&mut self, step: JobStep) {
+        let draft = JobDraft { steps: vec![step], ..JobDraft::default() };
+        let request = CallerRequest {
+            host: SmolStr::new_static("desk.example"),
+            path: SmolStr::new_static("/bids/00000000000000ab"),
+            patience: Some(Duration::from_secs(2)),
+            kind: RequestKind::Submit(draft),
+        };
+        self.tell(DispatchEvent::Asked { reply: ReplyId(1), request });
+    }
+
+    fn sent(&self) -> Vec<usize> {
+        (0..3).map(|number| self.starts.get(&number).copied().unwrap_or_default()).collect()
+    }
+}
+
+fn plan() -> SitePlan {
+    let route = RouteRule {
+        name: SmolStr::new_static("bids"),
+        host: SmolStr::new_static("desk.example"),
+        prefix: SmolStr::new_static("/bids/"),
+        service: "desk".parse().expect("a valid name"),
+        timeout: Millis(1_500),
+        target_latency: Millis(60),
+        slack_percent: 160,
+        priority: 0,
+        attempts_max: 9,
+    };
+    let table = RouteTable { version: Revision(1), routes: vec![Arc::new(route)], body_bytes_max: 100_000 };
+    SitePlan { table: Some(Arc::new(table)), zones_revision: 1, ..SitePlan::default() }
+}
+
+fn step(count: u16) -> JobStep {
+    let demand = ResourceAmount { millicores: 3_000, memory: Megabytes(10), accelerators: 0 };
+    JobStep { count, demand, estimate: Millis(100), ..JobStep::default() }
+}
+
+#[rstest]
+#[case::on_few_workers(step(8), vec![8, 0, 0])]
+#[case::wider_than_a_worker(step(14), vec![10, 4, 0])]
+#[case::limit_on_each_worker(JobStep { per_worker_max: 2, ..step(5) }, vec![2, 2, 1])]
+#[case::limit_below_the_tasks(JobStep { per_worker_max: 1, ..step(5) }, vec![1, 1, 1])]
+#[case::required_label(JobStep { required_label: Some(SmolStr::new_static("r-2")), ..step(3) }, vec![0, 0, 3])]
+#[case::preferred_rack(JobStep { preferred_rack: Some(SmolStr::new_static("r-1")), ..step(3) }, vec![0, 3, 0])]
+#[case::label_of_nobody(JobStep { required_label: Some(SmolStr::new_static("x")), ..step(3) }, vec![0, 0, 0])]
+fn tasks_go_to_workers_that_may_run_them(#[case] step: JobStep, #[case] sent: Vec<usize>) {
+    let mut bench = Bench::new();
+    bench.submit(step);
+    assert_eq!(bench.sent(), sent);
+    assert!(bench.answers.is_empty());
+}
+
+#[test]
+fn failed_tasks_try_every_worker_and_then_begin_anew() {
+    let mut bench = Bench::new();
+    bench.submit(step(1));
+    for run in 1..=4 {
+        assert_eq!(bench.sent().iter().sum::<usize>(), run, "{:?}", bench.starts);
+        let session = bench.last_session.expect("a start was sent");
+        let task = TaskId { job: CallerJobId(0xab), step: 0, index: 0 };
+        let end = RunEnd { run: RunId { task, run: run as u32 }, outcome: RunOutcome::Failed, ran: Millis(10) };
+        let report = RunReport { nonce: 2, ends: vec![end], ..RunReport::default() };
+        bench.tell(DispatchEvent::Frame { session, frame: RunFrame::Report(report) });
+    }
+    assert!(bench.sent().iter().all(|starts| *starts >= 1));
+}
