Count a run of an earlier life as one that may have run

Cause (found on reading the change again): a run that is stopped in a worker's next life was reported as never answered, so its job could be refused as not run though the first life had it at work. Test first: a_run_of_an_earlier_life_may_have_run gave Unanswered.

--- a/crates/runs/src/agent/run_book.rs
+++ b/crates/runs/src/agent/run_book.rs
@@ -197,9 +197,9 @@
         }
     }
 
-    /// Asks for the run to be stopped by the worker's next life, whatever the last one said.
+    /// Asks for the run to be stopped by the worker's next life, whatever the last one said. It may have run in either.
     pub fn stop_again(&mut self, now: MonoTime) {
-        self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered: true };
+        self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered: false };
     }
 
     /// Notes that the worker will not start the run any more, and may have ended it: its lists tell.
--- a/crates/runs/tests/worker_calls.rs
+++ b/crates/runs/tests/worker_calls.rs
@@ -10,7 +10,7 @@
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     EndedRun, HoldReply, RunList, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, RunningTask, StartRefusal, StartReply,
-    WorkerCall, WorkerNotice, WorkerReply,
+    StopReply, WorkerCall, WorkerNotice, WorkerReply,
 };
 use vanillacleat_runs::LeaseTerms;
 
@@ -188,3 +188,18 @@
     bench.list(60, bench.last_hold(), &[RUN, stranger], &[]);
     assert!(bench.calls.contains(&WorkerCall::Stop { run: stranger }));
 }
+
+#[test]
+fn a_run_of_an_earlier_life_may_have_run() {
+    let mut bench = Bench::new();
+    bench.order(10);
+    bench.answer_start(12, StartReply::Started(50_012));
+    bench.tell(14, RunnerEvent::Announced(notice(2)));
+    let stop = WorkerReply::Stop(RUN, StopReply::Taken(60_000));
+    bench.tell(16, RunnerEvent::Replied { life: bench.life, reply: stop });
+    let list = RunList { born: 2, clock: 60_020, running: Vec::new(), ended: Vec::new() };
+    bench.tell(17, RunnerEvent::Replied { life: bench.life, reply: WorkerReply::Hold(bench.last_hold(), HoldReply::Listed(list.clone())) });
+    bench.tell(90, RunnerEvent::Tick);
+    bench.tell(95, RunnerEvent::Replied { life: bench.life, reply: WorkerReply::Hold(bench.last_hold(), HoldReply::Listed(list)) });
+    assert_eq!(bench.outcomes(), vec![RunOutcome::Stopped]);
+}
