Keep a command's results and its log lines apart

Cause (found with the README's first command from a fresh clone): daemons log to standard output now, and the command line did too, so that the quickstart's figures stood between log lines. Its lines go to standard error again.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,12 +14,12 @@
 use std::process::ExitCode;
 
 use commands::{cli_command, CliCommand};
-use vanillacleat_daemon::init_logging;
+use vanillacleat_daemon::init_command_logging;
 
 /// Runs the command that the process was started with.
 pub fn run() -> ExitCode {
     let command = cli_command().run();
-    init_logging();
+    init_command_logging();
     let outcome = match command {
         CliCommand::Quickstart { hold } => quickstart::run(hold),
         CliCommand::Load { settings, report } => load::run(&settings, report.as_deref()),
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -30,26 +30,35 @@
     }
 }
 
-/// Starts logging at the level of `RUST_LOG`, or at `info`. A second call has no effect.
+/// Starts a daemon's logging at the level of `RUST_LOG`, or at `info`. A second call has no effect.
 pub fn init_logging() {
-    let format = |buffer: &mut env_logger::fmt::Formatter, record: &log::Record<'_>| {
-        let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        let level = record.level().as_str().to_ascii_lowercase();
-        writeln!(buffer, "unix_ms={} level={level} {}", at.as_millis(), record.args())
-    };
     let (lines, waiting) = sync_channel(WAITING_LINES_MAX);
     let dropped = Arc::new(AtomicU64::new(0));
     let queue = LineQueue { lines, dropped: dropped.clone() };
     let started = std::thread::Builder::new().name("log-writer".to_owned()).spawn(move || write_lines(&waiting, &dropped));
-    let filter = Env::default().default_filter_or("info,rocket=off,_=off,hyper=off,h2=off");
-    let mut builder = Builder::from_env(filter);
-    builder.format(format);
+    let mut builder = make_builder();
     if started.is_ok() {
         builder.target(Target::Pipe(Box::new(queue)));
     }
     let _ = builder.try_init();
 }
 
+/// Starts the logging of a command, whose results go to standard output: its lines go to standard error.
+pub fn init_command_logging() {
+    let _ = make_builder().target(Target::Stderr).try_init();
+}
+
+fn make_builder() -> Builder {
+    let filter = Env::default().default_filter_or("info,rocket=off,_=off,hyper=off,h2=off");
+    let mut builder = Builder::from_env(filter);
+    builder.format(|buffer, record| {
+        let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let level = record.level().as_str().to_ascii_lowercase();
+        writeln!(buffer, "unix_ms={} level={level} {}", at.as_millis(), record.args())
+    });
+    builder
+}
+
 fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     let mut output = io::stdout();
     while let Ok(line) = waiting.recv() {
