One listener and one dial of sessions for both kinds of daemons; dead code of the runs removed

Change: serve_listener and OpenSession in vanillacleat-wire; lost agents are given up once. No decision changes. Checked: tests of runs, wire and runs-daemon pass.

--- a/crates/agent/src/sessions.rs
+++ b/crates/agent/src/sessions.rs
@@ -1,12 +1,10 @@
 //! Sessions with entries.
 
-use std::net::SocketAddr;
-
 use smol_str::SmolStr;
 use vanillacleat_control::agent::AgentEvent;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::frames::{EntryFrame, Envelope};
-use vanillacleat_wire::{carry_session, make_queue, FrameReceiver, FrameSender, WireConnection, WireError};
+use vanillacleat_wire::{carry_session, make_queue, OpenSession};
 
 use crate::agent_input::{AgentInput, Outlet, SentFrame};
 
@@ -14,8 +12,8 @@
 
 /// Opens a session with the entry at `address` and carries it until it ends.
 pub(crate) async fn dial_entry(session: SessionId, address: SmolStr, outlet: Outlet) {
-    let opened = open_session(&address).await;
-    let Ok((connection, sender, receiver)) = opened else {
+    let opened = OpenSession::<SentFrame, ReceivedFrame>::dial(&address).await;
+    let Ok(OpenSession { connection, sender, receiver }) = opened else {
         return outlet.send(AgentInput::Event(AgentEvent::SessionGone { session: None, address }));
     };
     let (queue, unsent) = make_queue();
@@ -27,12 +25,3 @@
     drop(connection);
     outlet.send(AgentInput::Event(AgentEvent::SessionGone { session: Some(session), address }));
 }
-
-type OpenedSession = (WireConnection, FrameSender<SentFrame>, FrameReceiver<ReceivedFrame>);
-
-async fn open_session(address: &str) -> Result<OpenedSession, WireError> {
-    let address: SocketAddr = address.parse().map_err(|_| WireError::Closed(format!("{address} is no address")))?;
-    let connection = WireConnection::connect(address).await?;
-    let (sender, receiver) = connection.open_session().await?;
-    Ok((connection, sender, receiver))
-}
--- a/crates/entry/src/mesh_server.rs
+++ b/crates/entry/src/mesh_server.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 use vanillacleat_core::frames::{Envelope, PeerCall, PeerReply};
 use vanillacleat_daemon::EventSender;
-use vanillacleat_wire::{accept_streams, carry_session, make_queue, CallStream, FrameSender, IncomingStream, SessionStream, WireError};
+use vanillacleat_wire::{carry_session, make_queue, serve_listener, CallStream, FrameSender, IncomingStream, SessionStream, WireError};
 
 use crate::entry_input::EntryInput;
 
@@ -15,25 +15,10 @@
 /// Starts the server; it ends with the runtime.
 pub(crate) async fn start_server(address: SocketAddr, events: Events) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(accept_connections(listener, events));
+    tokio::spawn(serve_listener(listener, move |stream| serve_stream(stream, events.clone())));
     Ok(())
 }
 
-async fn accept_connections(listener: TcpListener, events: Events) {
-    loop {
-        let Ok((socket, peer)) = listener.accept().await else {
-            continue;
-        };
-        let events = events.clone();
-        tokio::spawn(async move {
-            let ended = accept_streams(socket, |stream| serve_stream(stream, events.clone())).await;
-            if let Err(error) = ended {
-                log::debug!("event=connection_ended peer={peer} cause={:?}", error.to_string());
-            }
-        });
-    }
-}
-
 fn serve_stream(stream: IncomingStream, events: Events) {
     match stream {
         IncomingStream::Session(session) => drop(tokio::spawn(serve_session(session, events))),
--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +15,7 @@
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventOutlet};
 use vanillacleat_runs::agent::{RunnerAction, RunnerControl, RunnerEvent, WorkerCall, WorkerReply};
-use vanillacleat_wire::{carry_session, make_queue, FrameReceiver, FrameSender, SessionQueue, WireConnection, WireError};
+use vanillacleat_wire::{carry_session, make_queue, OpenSession, SessionQueue};
 
 /// Longest time to open a session; entries are a few milliseconds away.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -128,8 +127,8 @@
 }
 
 async fn dial_entry(session: SessionId, address: SmolStr, outlet: Outlet) {
-    let opened = timeout(DIAL_TIMEOUT, open_session(&address)).await;
-    let Ok(Ok((connection, sender, receiver))) = opened else {
+    let opened = timeout(DIAL_TIMEOUT, OpenSession::<RunFrame, OrderFrame>::dial(&address)).await;
+    let Ok(Ok(OpenSession { connection, sender, receiver })) = opened else {
         return outlet.send(AgentInput::Event(RunnerEvent::SessionGone { session: None, address }));
     };
     let (queue, unsent) = make_queue();
@@ -141,12 +140,3 @@
     drop(connection);
     outlet.send(AgentInput::Event(RunnerEvent::SessionGone { session: Some(session), address }));
 }
-
-type OpenedSession = (WireConnection, FrameSender<RunFrame>, FrameReceiver<OrderFrame>);
-
-async fn open_session(address: &str) -> Result<OpenedSession, WireError> {
-    let address: SocketAddr = address.parse().map_err(|_| WireError::Closed(format!("{address} is no address")))?;
-    let connection = WireConnection::connect(address).await?;
-    let (sender, receiver) = connection.open_session().await?;
-    Ok((connection, sender, receiver))
-}
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -13,7 +13,7 @@
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_daemon::{install_metrics, spawn_control, DaemonError, EventSender, ProcessHandle, ProcessRuntime, ThreadPause};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchControl, DispatchEvent, DispatchOptions};
-use vanillacleat_wire::{accept_streams, carry_session, make_queue, IncomingStream, SessionStream};
+use vanillacleat_wire::{carry_session, make_queue, serve_listener, IncomingStream, SessionStream};
 
 use crate::entry_loop::{frame_event, EntryInput, EntryLoop, EntryStatus};
 use crate::run_settings::RunsEntrySettings;
@@ -107,7 +107,8 @@
         let tick = || EntryInput::Event(DispatchEvent::Tick);
         let (events, thread) = spawn_control("entry-control", pause.clone(), tick, step).change_context(DaemonError::Start)?;
         let listener = runtime.block_on(TcpListener::bind(settings.mesh_listen)).change_context(DaemonError::Start)?;
-        runtime.handle().spawn(accept_agents(listener, events.clone()));
+        let sessions = events.clone();
+        runtime.handle().spawn(serve_listener(listener, move |stream| serve_stream(stream, sessions.clone())));
         let port = EntryPort { events: events.clone(), status, next_reply: Arc::default() };
         log::info!("event=entry_started entry={} zone={} mesh={}", settings.id, settings.zone, settings.mesh_listen);
         let process = ProcessHandle::new(events, || EntryInput::Stop, pause, thread, runtime);
@@ -141,26 +142,6 @@
     }
 }
 
-async fn accept_agents(listener: TcpListener, events: EventSender<EntryInput>) {
-    loop {
-        let (socket, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!("event=accept_failed port=mesh cause={:?}", error.to_string());
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let events = events.clone();
-        tokio::spawn(async move {
-            let ended = accept_streams(socket, |stream| serve_stream(stream, events.clone())).await;
-            if let Err(error) = ended {
-                log::debug!("event=connection_ended peer={peer} cause={:?}", error.to_string());
-            }
-        });
-    }
-}
-
 fn serve_stream(stream: IncomingStream, events: EventSender<EntryInput>) {
     match stream {
         IncomingStream::Session(session) => drop(tokio::spawn(serve_session(session, events))),
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use vanillacleat_core::caller_job::{CallerJob, CallerJobId, TaskId};
+use smol_str::SmolStr;
+use vanillacleat_core::caller_job::{CallerJob, CallerJobId, ResourceAmount, TaskId};
+use vanillacleat_core::ids::AgentId;
 use vanillacleat_core::run_frames::RunStart;
 use vanillacleat_core::site_plan::RouteRule;
 
@@ -76,17 +78,11 @@
         }
     }
 
-    fn send_start(
-        &mut self,
-        task: &TaskId,
-        agent: &vanillacleat_core::ids::AgentId,
-        demand: vanillacleat_core::caller_job::ResourceAmount,
-        payload: &smol_str::SmolStr,
-    ) {
+    fn send_start(&mut self, task: &TaskId, agent: &AgentId, demand: ResourceAmount, payload: &SmolStr) {
         let Some(session) = self.board.get(agent).and_then(|room| room.session) else {
             return;
         };
-        let Some(run) = self.book.mark_sent(self.now, task, agent) else {
+        let Some(run) = self.book.mark_sent(task, agent) else {
             return;
         };
         self.board.occupy(agent, demand);
@@ -109,8 +105,11 @@
             let has_started = job.has_run || job.has_sent();
             let waited = self.now.since(job.arrived_at);
             self.log(format!("event=job_late job={id} waited_ms={} started={has_started}", waited.as_millis()));
-            let effects =
-                if has_started { self.book.abandon(&id) } else { self.book.refuse(&id, "there is no room in time", self.retry_time(&id)) };
+            let effects = if has_started {
+                self.book.wind_down(&id)
+            } else {
+                self.book.refuse(&id, "there is no room in time", self.retry_time(&id))
+            };
             self.apply(effects);
         }
     }
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -115,7 +115,7 @@
 
     /// Takes back what was at agents that have been gone for longer than any lease.
     pub(super) fn give_up_dead_agents(&mut self) {
-        for (agent, _) in self.board.dead_agents(self.now, self.options.terms.death_wait()) {
+        for agent in self.board.take_dead_agents(self.now, self.options.terms.death_wait()) {
             for run in self.book.runs_at(&agent) {
                 self.settle_lost(&agent, run);
             }
--- a/crates/runs/src/entry/job_book.rs
+++ b/crates/runs/src/entry/job_book.rs
@@ -136,12 +136,12 @@
     }
 
     /// Notes that a waiting task is sent to an agent; returns the run.
-    pub fn mark_sent(&mut self, now: MonoTime, task: &TaskId, agent: &AgentId) -> Option<RunId> {
+    pub fn mark_sent(&mut self, task: &TaskId, agent: &AgentId) -> Option<RunId> {
         let job = self.jobs.get_mut(&task.job)?;
         job.last_agent = Some(agent.clone());
         let slot = job.slot_mut(task).filter(|slot| slot.state == SlotState::Waiting)?;
         slot.runs += 1;
-        slot.state = SlotState::Sent { agent: agent.clone(), at: now, is_stopping: false };
+        slot.state = SlotState::Sent { agent: agent.clone(), is_stopping: false };
         let run = RunId { task: *task, run: slot.runs };
         self.index(&task.job);
         Some(run)
@@ -182,15 +182,10 @@
         sent.filter(|(_, sent_to)| sent_to == agent).map(|(run, _)| run).collect()
     }
 
-    /// Gives a job up: what is at work is stopped, and the caller is answered once nothing is.
-    pub fn abandon(&mut self, id: &CallerJobId) -> Vec<JobEffect> {
-        self.wind_down(id)
-    }
-
     /// Stops a run so that its task can be placed elsewhere; returns nothing if the run is not at work.
     pub fn relocate(&mut self, run: &RunId) -> Option<JobEffect> {
         let slot = self.jobs.get_mut(&run.task.job)?.slot_mut(&run.task).filter(|slot| slot.runs == run.run)?;
-        let SlotState::Sent { agent, is_stopping: is_stopping @ false, .. } = &mut slot.state else {
+        let SlotState::Sent { agent, is_stopping: is_stopping @ false } = &mut slot.state else {
             return None;
         };
         *is_stopping = true;
@@ -222,8 +217,8 @@
         effects
     }
 
-    /// Stops what is at work of a job that nobody waits for, and removes it once nothing is.
-    fn wind_down(&mut self, id: &CallerJobId) -> Vec<JobEffect> {
+    /// Gives a job up: what is at work is stopped. Once nothing is, whoever waits is answered and the job is removed.
+    pub fn wind_down(&mut self, id: &CallerJobId) -> Vec<JobEffect> {
         let Some(job) = self.jobs.get_mut(id) else {
             return Vec::new();
         };
--- a/crates/runs/src/entry/job_entry.rs
+++ b/crates/runs/src/entry/job_entry.rs
@@ -21,8 +21,6 @@
     Sent {
         /// The agent.
         agent: AgentId,
-        /// When it was sent.
-        at: MonoTime,
         /// Whether a stop was sent after it.
         is_stopping: bool,
     },
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::ResourceAmount;
-use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
+use vanillacleat_core::ids::{AgentId, ServiceName, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport};
 use vanillacleat_core::units::MonoTime;
 
@@ -137,10 +137,14 @@
         self.rooms.values().filter(is_silent).filter_map(|room| room.session).collect()
     }
 
-    /// Returns the agents that were lost, with nothing of theirs at work after `wait`.
-    pub fn dead_agents(&self, now: MonoTime, wait: Duration) -> Vec<(AgentId, Incarnation)> {
-        let is_dead = |room: &&WorkerRoom| room.session.is_none() && now.since(room.heard_at) >= wait;
-        self.rooms.values().filter(is_dead).map(|room| (room.agent.clone(), room.incarnation)).collect()
+    /// Returns the agents that were lost and have nothing at work any more since `wait` has passed, each once.
+    pub fn take_dead_agents(&mut self, now: MonoTime, wait: Duration) -> Vec<AgentId> {
+        let is_dead = |room: &&mut WorkerRoom| room.session.is_none() && !room.is_given_up && now.since(room.heard_at) >= wait;
+        let dead = self.rooms.values_mut().filter(is_dead).map(|room| {
+            room.is_given_up = true;
+            room.agent.clone()
+        });
+        dead.collect()
     }
 
     /// Forgets agents that have been lost for `age`.
--- a/crates/runs/src/entry/worker_room.rs
+++ b/crates/runs/src/entry/worker_room.rs
@@ -41,6 +41,8 @@
     pub nonce: u64,
     /// When the session broke.
     pub lost_at: Option<MonoTime>,
+    /// Whether its runs were taken back after the loss.
+    pub is_given_up: bool,
     /// How fast and how reliably it runs tasks.
     pub pace: WorkerPace,
     paused_until: MonoTime,
@@ -60,6 +62,7 @@
             heard_at: now,
             nonce: 0,
             lost_at: None,
+            is_given_up: false,
             pace: WorkerPace::default(),
             paused_until: MonoTime::ZERO,
         }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -26,6 +26,27 @@
     driver: JoinHandle<()>,
 }
 
+/// An `OpenSession` is a session with the connection that carries it.
+#[derive(Debug)]
+pub struct OpenSession<S, R> {
+    /// Ends the session when it is dropped.
+    pub connection: WireConnection,
+    /// Where frames go out.
+    pub sender: FrameSender<S>,
+    /// Where frames come in.
+    pub receiver: FrameReceiver<R>,
+}
+
+impl<S: Serialize, R: DeserializeOwned> OpenSession<S, R> {
+    /// Connects to `address` and opens a session, or fails if it is no address or nobody answers there.
+    pub async fn dial(address: &str) -> Result<Self, WireError> {
+        let address: SocketAddr = address.parse().map_err(|_| closed_error(format!("{address} is no address")))?;
+        let connection = WireConnection::connect(address).await?;
+        let (sender, receiver) = connection.open_session().await?;
+        Ok(Self { connection, sender, receiver })
+    }
+}
+
 impl Drop for WireConnection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,10 +12,10 @@
 mod session;
 mod streams;
 
-pub use client::WireConnection;
+pub use client::{OpenSession, WireConnection};
 pub use codec::{decode_body, encode_frame, FrameBuffer, FRAME_BYTES_MAX};
 pub use errors::WireError;
-pub use server::{accept_streams, CallStream, IncomingStream, SessionStream};
+pub use server::{accept_streams, serve_listener, CallStream, IncomingStream, SessionStream};
 pub use session::{carry_session, make_queue, SessionQueue, UnsentFrames};
 pub use streams::{FrameReceiver, FrameSender};
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,17 +1,21 @@
 //! The accepting side of a connection.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::RecvStream;
 use http::{Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::errors::{closed_error, WireError};
 use crate::streams::{FrameReceiver, FrameSender};
 use crate::{CALL_PATH, CONNECTION_WINDOW, SESSION_PATH, STREAM_WINDOW};
 
+/// Pause after a failed accept, so that a lack of descriptors is not met by spinning.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Most streams open at once on one connection.
 const STREAMS_MAX: u32 = 10_000;
 
@@ -56,6 +60,27 @@
     Call(CallStream),
 }
 
+/// Accepts connections for as long as it is polled, and serves each by [`accept_streams`]. Descriptors may run out for a
+/// while; that is logged, and ends nothing.
+pub async fn serve_listener(listener: TcpListener, take_stream: impl Fn(IncomingStream) + Clone + Send + 'static) {
+    loop {
+        let (socket, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("event=accept_failed port=mesh cause={:?}", error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let take_stream = take_stream.clone();
+        tokio::spawn(async move {
+            if let Err(error) = accept_streams(socket, take_stream).await {
+                log::debug!("event=connection_ended peer={peer} cause={:?}", error.to_string());
+            }
+        });
+    }
+}
+
 /// Serves a connection until it ends, handing each stream to `take_stream`. A stream of an unknown path is answered
 /// with status 404 and costs the others nothing.
 pub async fn accept_streams(socket: TcpStream, mut take_stream: impl FnMut(IncomingStream)) -> Result<(), WireError> {
