--- a/crates/runs-daemon/src/agent_daemon.rs
+++ b/crates/runs-daemon/src/agent_daemon.rs
@@ -82,6 +82,11 @@
         self.process.runtime().handle()
     }
 
+    /// Returns the switch that freezes the control thread.
+    pub fn pause(&self) -> ThreadPause {
+        self.process.pause()
+    }
+
     /// Waits until the process is asked to leave, then until its runs have ended.
     pub fn run(self) -> Result<(), Report<DaemonError>> {
         self.process.run(AgentInput::Event(RunnerEvent::Drain))
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -56,8 +56,8 @@
         self.events.send(EntryInput::Asked(reply, request, target));
         let answer = answer.await;
         hold.is_answered = true;
-        // The control thread ends only when the process does.
-        answer.unwrap_or(CallerAnswer::Refused { reason: "the entry is leaving", retry_after: Duration::from_secs(1) })
+        // The control thread has ended with the job open: some of it may have run.
+        answer.unwrap_or(CallerAnswer::Abandoned("the entry has ended"))
     }
 
     /// Hands over the plan as read from the platform.
@@ -125,6 +125,11 @@
         self.process.runtime().handle()
     }
 
+    /// Returns the switch that freezes the control thread.
+    pub fn pause(&self) -> ThreadPause {
+        self.process.pause()
+    }
+
     /// Waits until the process is asked to leave, then until its open jobs have ended.
     pub fn run(self) -> Result<(), Report<DaemonError>> {
         self.process.run(EntryInput::Event(DispatchEvent::Drain))
--- /dev/null
+++ b/crates/runs-daemon/tests/entry_end.rs
@@ -0,0 +1,63 @@
+//! The end of an entry with a job open: its caller is never told that nothing has run.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_core::caller_job::JobStep;
+use vanillacleat_core::site_plan::{RouteRule, RouteTable, SitePlan};
+use vanillacleat_core::units::{Millis, Revision};
+use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, JobDraft, RequestKind};
+use vanillacleat_runs_daemon::{LeaseSettings, RunsEntry, RunsEntrySettings};
+
+fn make_plan() -> SitePlan {
+    let route = RouteRule {
+        name: SmolStr::new_static("bids"),
+        host: SmolStr::new_static("desk.example"),
+        prefix: SmolStr::new_static("/bids/"),
+        service: "desk".parse().expect("a valid name"),
+        timeout: Millis(60_000),
+        target_latency: Millis(60_000),
+        slack_percent: 160,
+        priority: 0,
+        attempts_max: 2,
+    };
+    let table = RouteTable { version: Revision(1), routes: vec![Arc::new(route)], body_bytes_max: 100_000 };
+    SitePlan { table: Some(Arc::new(table)), zones_revision: 1, ..SitePlan::default() }
+}
+
+fn make_request() -> CallerRequest {
+    let step = JobStep { count: 1, estimate: Millis(10), ..JobStep::default() };
+    let draft = JobDraft { payload: SmolStr::new_static("text"), steps: vec![step], ..JobDraft::default() };
+    CallerRequest {
+        host: SmolStr::new_static("desk.example"),
+        path: SmolStr::new_static("/bids/5c0e7a21d94b36f8"),
+        patience: Some(Duration::from_secs(60)),
+        kind: RequestKind::Submit(draft),
+    }
+}
+
+#[test]
+fn an_open_job_is_not_refused_by_the_end() {
+    let port = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port");
+    let settings = RunsEntrySettings {
+        id: "entry".parse().expect("a valid name"),
+        zone: "zone-0".parse().expect("a valid name"),
+        mesh_listen: port,
+        leases: LeaseSettings::default(),
+    };
+    let entry = RunsEntry::start(&settings).expect("the entry starts");
+    let port = entry.port();
+    port.note_plan(make_plan());
+    let caller = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let asked = port.clone();
+    let answer = std::thread::spawn(move || caller.block_on(asked.ask(make_request())));
+    let has_job =
+        || entry.traffic().block_on(port.dump()).is_some_and(|state| state["jobs"].as_array().is_some_and(|jobs| !jobs.is_empty()));
+    while !has_job() {
+        std::thread::yield_now();
+    }
+    drop(entry);
+    assert_eq!(answer.join().expect("the caller is answered"), CallerAnswer::Abandoned("the entry has ended"));
+}
