Leases share whatever time a resubmission leaves, and settings that leave none are refused

Cause: with a resubmission after 800 ms and a stop of 100 ms the leases kept their floor of 200 ms and the chain ended after 808 ms, later than the caller's next try: two runs at the same time were possible on a site with such bounds. Change: both leases are cut from the same budget without a floor; LeaseSettings::check refuses what can't be renewed. At 1,300 ms nothing changes (400 and 400 ms).

--- a/crates/runs-daemon/src/run_settings.rs
+++ b/crates/runs-daemon/src/run_settings.rs
@@ -37,7 +37,12 @@
         check_range("leases.resubmit_ms", self.resubmit_ms, 500, 60_000)?;
         check_range("leases.hold_max_ms", self.hold_max_ms, 250, 600_000)?;
         check_range("leases.stop_ms", self.stop_ms, 1, 10_000)?;
-        check_range("leases.grace_ms", self.grace_ms, 1_000, 600_000)
+        check_range("leases.grace_ms", self.grace_ms, 1_000, 600_000)?;
+        if self.terms().can_be_renewed() {
+            return Ok(());
+        }
+        let (resubmit, stop) = (self.resubmit_ms, self.stop_ms);
+        Err(setting_error("leases.resubmit_ms", format!("{resubmit} given, which leaves no time for leases beside a stop_ms of {stop}")))
     }
 
     /// Returns the spans of the leases.
--- a/crates/runs/src/lease_terms.rs
+++ b/crates/runs/src/lease_terms.rs
@@ -26,14 +26,20 @@
 
 impl LeaseTerms {
     /// Returns terms under which runs of a lost entry are over before a caller asks again, `resubmit_after` later, if
-    /// workers keep a lease for `hold_max` at most and stop a run within `stop_timeout`.
+    /// workers keep a lease for `hold_max` at most and stop a run within `stop_timeout`. The two leases share the time
+    /// between them; terms that are too short to be kept up are for [`Self::can_be_renewed`] to tell.
     pub fn new(resubmit_after: Duration, hold_max: Duration, stop_timeout: Duration) -> Self {
-        let worker_lease = WORKER_LEASE_MAX.min(hold_max * 4 / 5).max(LEASE_MIN);
-        let rest = resubmit_after.saturating_sub(slowest(worker_lease) + stop_timeout + TIMER_SLACK);
-        let session_lease = SESSION_LEASE_MAX.min(rest).max(LEASE_MIN);
+        let budget = resubmit_after.saturating_sub(stop_timeout + TIMER_SLACK);
+        let worker_lease = WORKER_LEASE_MAX.min(hold_max * 4 / 5).min(budget / 2 * WORKER_CLOCK_PERCENT / 100);
+        let session_lease = SESSION_LEASE_MAX.min(budget.saturating_sub(slowest(worker_lease)));
         Self { worker_lease, session_lease, stop_timeout }
     }
 
+    /// Returns whether renewals can keep up with the leases.
+    pub fn can_be_renewed(&self) -> bool {
+        self.worker_lease.min(self.session_lease) >= LEASE_MIN
+    }
+
     /// Returns the time from an agent's last heard report to the moment from which none of its runs is at work,
     /// whatever became of the agent.
     pub fn death_wait(&self) -> Duration {
--- a/crates/runs/tests/lease_chain.rs
+++ b/crates/runs/tests/lease_chain.rs
@@ -12,8 +12,9 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_algorithm: proptest::test_runner::RngAlgorithm::ChaCha, ..ProptestConfig::with_cases(256) })]
 
     #[test]
-    fn chain_ends_before_resubmission(resubmit in 800_u64..10_000, hold in 250_u64..5_000, stop in 1_u64..100) {
+    fn chain_ends_before_resubmission(resubmit in 500_u64..10_000, hold in 250_u64..5_000, stop in 1_u64..1_000) {
         let terms = LeaseTerms::new(Duration::from_millis(resubmit), Duration::from_millis(hold), Duration::from_millis(stop));
+        prop_assume!(terms.can_be_renewed());
         prop_assert!(terms.death_wait() <= Duration::from_millis(resubmit));
         prop_assert!(terms.worker_lease <= Duration::from_millis(hold));
     }
@@ -45,6 +46,15 @@
     assert!(!lease.is_valid(MonoTime::from_millis(501)), "a repeated answer renews nothing");
 }
 
+#[test]
+fn too_short_terms_are_told_from_sound_ones() {
+    let terms = |resubmit, stop| LeaseTerms::new(Duration::from_millis(resubmit), Duration::from_secs(1), Duration::from_millis(stop));
+    assert!(terms(1_300, 50).can_be_renewed());
+    assert_eq!(terms(1_300, 50).worker_lease, Duration::from_millis(400));
+    assert!(terms(800, 100).can_be_renewed());
+    assert!(!terms(500, 100).can_be_renewed());
+}
+
 #[test]
 fn silent_entries_are_given_up() {
     let lease = SessionLease::new(MonoTime::from_millis(50), SmolStr::new_static("entry"));
