A late entry keeps its sessions: a lapsed lease stops the runs, a second of silence ends the session

Change: an agent stops the runs when the lease ends and keeps the session, on which the entry hears how they ended; after a second without a word either side ends it.

--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -170,7 +170,7 @@
     /// Takes an event that happened at `now`; returns what is to be done, in order.
     pub fn handle(&mut self, now: MonoTime, event: RunnerEvent) -> Vec<RunnerAction> {
         self.now = self.now.max(now);
-        self.end_lapsed_sessions();
+        self.watch_sessions();
         match event {
             RunnerEvent::SessionUp { session, address } => self.open_session(session, address),
             RunnerEvent::SessionGone { session, address } => self.lose_session(session, &address),
--- a/crates/runs/src/agent/runner/ordering.rs
+++ b/crates/runs/src/agent/runner/ordering.rs
@@ -24,6 +24,10 @@
 
 impl RunnerControl {
     pub(super) fn take_frame(&mut self, session: SessionId, frame: OrderFrame) {
+        let now = self.now;
+        if let Some(lease) = self.sessions.get_mut(&session) {
+            lease.hear(now);
+        }
         match frame {
             OrderFrame::Orders(orders) => self.take_orders(session, orders),
             OrderFrame::Plan(plan) => self.take_plan(&plan),
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -61,14 +61,27 @@
         }
     }
 
-    pub(super) fn end_lapsed_sessions(&mut self) {
-        let lapsed = self.sessions.iter().filter(|(_, lease)| lease.has_lapsed(self.now));
-        let lapsed: Vec<(SessionId, SmolStr)> = lapsed.map(|(session, lease)| (*session, lease.address.clone())).collect();
-        for (session, address) in lapsed {
+    /// Ends sessions whose entries are silent, and stops the runs of those whose lease has ended: a late entry keeps its
+    /// session, and hears on it how they ended.
+    pub(super) fn watch_sessions(&mut self) {
+        let silent = self.sessions.iter().filter(|(_, lease)| lease.is_silent(self.now));
+        let silent: Vec<(SessionId, SmolStr)> = silent.map(|(session, lease)| (*session, lease.address.clone())).collect();
+        for (session, address) in silent {
             self.actions.push(RunnerAction::Close(session));
             self.dialer.note_down(&address, self.now, &mut self.rng);
             self.drop_session(session, "silent");
         }
+        let now = self.now;
+        let lapsed: Vec<(SessionId, SmolStr)> = self
+            .sessions
+            .iter_mut()
+            .filter_map(|(session, lease)| lease.take_lapse(now).then(|| (*session, lease.address.clone())))
+            .collect();
+        for (session, address) in lapsed {
+            let runs = self.book.select(|record| record.owner == Some(session));
+            self.log(format!("event=lease_lapsed entry={address} runs={}", runs.len()));
+            runs.iter().for_each(|run| self.stop_run(run));
+        }
     }
 
     /// Reports ends at once, and the worker's state every period.
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -8,8 +8,9 @@
 use vanillacleat_core::run_frames::{RunEnd, WorkerOffer};
 use vanillacleat_core::units::MonoTime;
 
-/// Time after its opening within which a session must have a first lease.
-const FIRST_LEASE_MAX: Duration = Duration::from_millis(1_000);
+/// Time without a word of the entry after which its session is opened anew. Entries answer each report; one that is only
+/// late by less would pay more for a new session than for the answer.
+const SILENCE_MAX: Duration = Duration::from_millis(1_000);
 /// Unanswered reports that are remembered; older ones can't renew the lease any more.
 const QUESTIONS_MAX: usize = 32;
 
@@ -31,7 +32,8 @@
     questions: VecDeque<(u64, MonoTime)>,
     next_nonce: u64,
     leased_until: MonoTime,
-    silent_until: MonoTime,
+    heard_at: MonoTime,
+    is_suspended: bool,
 }
 
 impl SessionLease {
@@ -47,7 +49,8 @@
             questions: VecDeque::new(),
             next_nonce: 0,
             leased_until: MonoTime::ZERO,
-            silent_until: now + FIRST_LEASE_MAX,
+            heard_at: now,
+            is_suspended: false,
         }
     }
 
@@ -62,6 +65,11 @@
         self.next_nonce
     }
 
+    /// Notes that the entry said something at `now`.
+    pub fn hear(&mut self, now: MonoTime) {
+        self.heard_at = now;
+    }
+
     /// Takes the nonce that the entry repeated: the lease lasts for `span` from the report that carried it.
     pub fn renew(&mut self, nonce: u64, span: Duration) {
         while let Some((asked, at)) = self.questions.front().copied() {
@@ -69,6 +77,7 @@
                 return;
             }
             self.leased_until = self.leased_until.max(at + span);
+            self.is_suspended = false;
             self.questions.pop_front();
         }
     }
@@ -78,8 +87,15 @@
         now < self.leased_until
     }
 
-    /// Returns whether the lease has ended, or the first one is overdue.
-    pub fn has_lapsed(&self, now: MonoTime) -> bool {
-        !self.is_valid(now) && (self.leased_until > MonoTime::ZERO || now >= self.silent_until)
+    /// Returns whether the lease has ended since it was last renewed; each end is told once.
+    pub fn take_lapse(&mut self, now: MonoTime) -> bool {
+        let has_lapsed = !self.is_valid(now) && self.leased_until > MonoTime::ZERO && !self.is_suspended;
+        self.is_suspended |= has_lapsed;
+        has_lapsed
+    }
+
+    /// Returns whether the entry has said nothing for so long that another session should be opened.
+    pub fn is_silent(&self, now: MonoTime) -> bool {
+        now.since(self.heard_at) >= SILENCE_MAX
     }
 }
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -126,6 +126,7 @@
 impl DispatchControl {
     /// Returns the state of an entry that has just started.
     pub fn new(options: DispatchOptions) -> Self {
+        let board = WorkerBoard::new(options.terms.session_lease);
         Self {
             now: MonoTime::ZERO,
             awake_at: MonoTime::ZERO,
@@ -134,7 +135,7 @@
             plan: SitePlan::default(),
             entries: Vec::new(),
             book: JobBook::default(),
-            board: WorkerBoard::default(),
+            board,
             times: RouteTimes::default(),
             orders: BTreeMap::new(),
             echoes: BTreeMap::new(),
@@ -219,7 +220,7 @@
                 "agent": room.agent,
                 "zone": room.zone,
                 "is_connected": room.session.is_some(),
-                "is_usable": room.is_usable(self.now),
+                "is_usable": self.board.is_usable(self.now, room),
                 "room_millicores": room.room().millicores,
                 "heard": room.heard_at.to_string(),
             })
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -15,6 +15,9 @@
 /// Longest time that the renewal of a session's lease waits for orders to travel with.
 const ECHO_DELAY_MAX: Duration = Duration::from_millis(40);
 
+/// Time without a report after which a session is ended; agents do the same without orders.
+const SILENCE_MAX: Duration = Duration::from_millis(1_000);
+
 impl DispatchControl {
     pub(super) fn take_frame(&mut self, session: SessionId, frame: RunFrame) {
         match frame {
@@ -104,10 +107,9 @@
         }
     }
 
-    /// Ends sessions whose agents have been silent for longer than they let runs go on without this entry.
+    /// Ends sessions whose agents have been silent for so long that they open others.
     pub(super) fn close_silent_sessions(&mut self) {
-        let age = self.options.terms.session_lease + ECHO_DELAY_MAX;
-        for session in self.board.silent_sessions(self.now, self.awake_at, age) {
+        for session in self.board.silent_sessions(self.now, self.awake_at, SILENCE_MAX) {
             self.actions.push(DispatchAction::Close(session));
             self.lose_session(session, "silent");
         }
@@ -115,7 +117,7 @@
 
     /// Takes back what was at agents that have been gone for longer than any lease.
     pub(super) fn give_up_dead_agents(&mut self) {
-        for agent in self.board.take_dead_agents(self.now, self.options.terms.death_wait()) {
+        for agent in self.board.take_dead_agents(self.now, self.awake_at, self.options.terms.death_wait()) {
             for run in self.book.runs_at(&agent) {
                 self.settle_lost(&agent, run);
             }
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -13,6 +13,7 @@
 use super::straggler_rule::find_threshold;
 use super::worker_pace::WorkerPace;
 use super::worker_room::WorkerRoom;
+use crate::LeaseTerms;
 
 /// Agents of a zone that keep the routes for entries that can't reach the store.
 const KEEPERS: usize = 2;
@@ -38,15 +39,22 @@
     rooms: BTreeMap<AgentId, WorkerRoom>,
     by_session: BTreeMap<SessionId, AgentId>,
     slow_from: f64,
+    fresh_time: Duration,
 }
 
 impl Default for WorkerBoard {
     fn default() -> Self {
-        Self { rooms: BTreeMap::new(), by_session: BTreeMap::new(), slow_from: f64::INFINITY }
+        Self::new(LeaseTerms::default().session_lease)
     }
 }
 
 impl WorkerBoard {
+    /// Returns a board without workers. Agents refuse starts under a lease that has ended: one whose last report is older
+    /// than `fresh_time`, the lease's length, gets none.
+    pub fn new(fresh_time: Duration) -> Self {
+        Self { rooms: BTreeMap::new(), by_session: BTreeMap::new(), slow_from: f64::INFINITY, fresh_time }
+    }
+
     /// Takes an agent's hello; returns whether it is another run of a known agent.
     pub fn note_hello(&mut self, now: MonoTime, session: SessionId, hello: &RunHello) -> bool {
         self.by_session.insert(session, hello.agent.clone());
@@ -137,9 +145,11 @@
         self.rooms.values().filter(is_silent).filter_map(|room| room.session).collect()
     }
 
-    /// Returns the agents that were lost and have nothing at work any more since `wait` has passed, each once.
-    pub fn take_dead_agents(&mut self, now: MonoTime, wait: Duration) -> Vec<AgentId> {
-        let is_dead = |room: &&mut WorkerRoom| room.session.is_none() && !room.is_given_up && now.since(room.heard_at) >= wait;
+    /// Returns the agents that have nothing at work any more since they were not heard for `wait`, each once until they
+    /// are heard again. What came while this process was stalled, until `awake_at`, may still be read on open sessions.
+    pub fn take_dead_agents(&mut self, now: MonoTime, awake_at: MonoTime, wait: Duration) -> Vec<AgentId> {
+        let heard_at = |room: &WorkerRoom| if room.session.is_some() { room.heard_at.max(awake_at) } else { room.heard_at };
+        let is_dead = |room: &&mut WorkerRoom| !room.is_given_up && now.since(heard_at(room)) >= wait;
         let dead = self.rooms.values_mut().filter(is_dead).map(|room| {
             room.is_given_up = true;
             room.agent.clone()
@@ -165,7 +175,8 @@
         last: Option<&AgentId>,
     ) -> Option<&AgentId> {
         let is_sound = |room: &&WorkerRoom| !self.is_slow(now, room) && !room.pace.is_failing(now);
-        let candidates = self.rooms.values().filter(|room| is_candidate(now, zones_out, request, room)).filter(is_sound);
+        let usable = self.rooms.values().filter(|room| self.is_usable(now, room));
+        let candidates = usable.filter(|room| is_candidate(zones_out, request, room)).filter(is_sound);
         let best = candidates.min_by_key(|room| {
             let is_far = request.preferred_rack.is_some_and(|rack| !has_label(room, rack));
             let is_contended = room.zone != *zone && !request.demand.fits(&room.shared_room());
@@ -177,7 +188,12 @@
 
     /// Returns whether any worker that may be used has room at all.
     pub fn has_room(&self, now: MonoTime) -> bool {
-        self.rooms.values().any(|room| room.is_usable(now) && room.room().millicores > 0)
+        self.rooms.values().any(|room| self.is_usable(now, room) && room.room().millicores > 0)
+    }
+
+    /// Returns whether starts may be sent to a worker at `now`.
+    pub fn is_usable(&self, now: MonoTime, room: &WorkerRoom) -> bool {
+        room.is_usable(now) && now.since(room.heard_at) < self.fresh_time
     }
 
     /// Returns the cores of the sound workers of a service in zones that are in service.
@@ -201,12 +217,11 @@
     }
 }
 
-fn is_candidate(now: MonoTime, zones_out: &BTreeSet<ZoneName>, request: &RoomRequest<'_>, room: &WorkerRoom) -> bool {
+fn is_candidate(zones_out: &BTreeSet<ZoneName>, request: &RoomRequest<'_>, room: &WorkerRoom) -> bool {
     let Some(worker) = &room.worker else {
         return false;
     };
-    room.is_usable(now)
-        && worker.service == *request.service
+    worker.service == *request.service
         && request.demand.fits(&room.room())
         && !zones_out.contains(&room.zone)
         && request.required_label.is_none_or(|label| has_label(room, label))
--- a/crates/runs/src/entry/worker_room.rs
+++ b/crates/runs/src/entry/worker_room.rs
@@ -41,7 +41,7 @@
     pub nonce: u64,
     /// When the session broke.
     pub lost_at: Option<MonoTime>,
-    /// Whether its runs were taken back after the loss.
+    /// Whether its runs were taken back since it was last heard.
     pub is_given_up: bool,
     /// How fast and how reliably it runs tasks.
     pub pace: WorkerPace,
@@ -71,6 +71,7 @@
     /// Takes what a report says of the worker.
     pub(super) fn note_report(&mut self, now: MonoTime, report: &RunReport) {
         self.heard_at = now;
+        self.is_given_up = false;
         self.nonce = report.nonce;
         self.is_closed = report.is_closed;
         self.others = report.used.less(&report.used_by_you);
--- a/crates/runs/tests/lease_chain.rs
+++ b/crates/runs/tests/lease_chain.rs
@@ -41,7 +41,8 @@
     assert!(!lease.is_valid(MonoTime::from_millis(150)), "no answer has come yet");
     lease.renew(nonce, span);
     assert!(lease.is_valid(MonoTime::from_millis(499)));
-    assert!(lease.has_lapsed(MonoTime::from_millis(500)));
+    assert!(lease.take_lapse(MonoTime::from_millis(500)));
+    assert!(!lease.take_lapse(MonoTime::from_millis(501)), "each end is told once");
     lease.renew(nonce, span);
     assert!(!lease.is_valid(MonoTime::from_millis(501)), "a repeated answer renews nothing");
 }
@@ -57,7 +58,10 @@
 
 #[test]
 fn silent_entries_are_given_up() {
-    let lease = SessionLease::new(MonoTime::from_millis(50), SmolStr::new_static("entry"));
-    assert!(!lease.has_lapsed(MonoTime::from_millis(1_049)));
-    assert!(lease.has_lapsed(MonoTime::from_millis(1_050)));
+    let mut lease = SessionLease::new(MonoTime::from_millis(50), SmolStr::new_static("entry"));
+    assert!(!lease.is_silent(MonoTime::from_millis(1_049)));
+    assert!(lease.is_silent(MonoTime::from_millis(1_050)));
+    lease.hear(MonoTime::from_millis(1_050));
+    assert!(!lease.is_silent(MonoTime::from_millis(2_049)));
+    assert!(!lease.take_lapse(MonoTime::from_millis(2_049)), "there was no lease");
 }
--- a/crates/runs/tests/support/world.rs
+++ b/crates/runs/tests/support/world.rs
@@ -533,12 +533,19 @@
     }
 
     fn restart_entry(&mut self, entry: usize) {
+        // One that was killed twice while it was down starts once: a second start would end requests unheard.
+        if self.entries[entry].is_up {
+            return;
+        }
         let run = self.entries[entry].run + 1;
         self.entries[entry] = make_entry(self.now, entry, run);
         self.reach_entry(entry, run, DispatchEvent::PlanRead(self.plan.clone()));
     }
 
     fn restart_agent(&mut self, agent: usize) {
+        if self.agents[agent].is_up {
+            return;
+        }
         let run = self.agents[agent].run + 1;
         self.agents[agent] = make_agent(self.now, agent, run);
     }
