Connecting to an entry is given up after 200 ms and tried again

Ruled out: workers (all found and settled by 38.56 s) and the plan (read 20 ms after each entry's start). Change: the transport's part of connecting has 200 ms; kernels answer it without the process.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -16,8 +16,11 @@
 use crate::streams::{FrameReceiver, FrameSender};
 use crate::{CALL_PATH, CONNECTION_WINDOW, SESSION_PATH, STREAM_WINDOW};
 
-/// Longest time to connect.
+/// Longest time to connect and to agree on the protocol.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for the transport's own part of it, which the other host's kernel answers within a few round trips. A
+/// packet to a host that is still starting is lost, and would be sent again only after a second.
+const TRANSPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A `WireConnection` is a connection to an entry. Dropping it ends its streams.
 #[derive(Debug)]
@@ -60,7 +63,7 @@
     }
 
     async fn connect_slowly(address: SocketAddr) -> Result<Self, WireError> {
-        let socket = TcpStream::connect(address).await.map_err(closed_error)?;
+        let socket = timeout(TRANSPORT_TIMEOUT, TcpStream::connect(address)).await.map_err(closed_error)?.map_err(closed_error)?;
         socket.set_nodelay(true).map_err(closed_error)?;
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(STREAM_WINDOW).initial_connection_window_size(CONNECTION_WINDOW);
