An entry with more callers than others counts on what it has taken; refused callers hear when there is room

Retry-After was one or two seconds whatever waited. Change: find_share takes what the entry's runs occupy where that is more; find_return adds the wait before the job; a forecast without any known worker is logged in words. overload.rs holds both patterns.

--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -11,6 +11,7 @@
 use crate::entry::caller_calls::{parse_target, CallerAnswer, CallerRequest, JobDraft, PathTarget, RequestKind};
 use crate::entry::job_book::JobEffect;
 use crate::entry::job_entry::JobEntry;
+use crate::entry::job_order::find_return;
 
 /// When a caller should come back that met an entry without a plan or workers.
 const RETRY_UNREADY: Duration = Duration::from_secs(1);
@@ -62,20 +63,21 @@
         let times = self.find_times(&job, route, caller);
         let delay = self.find_delay(&times, route);
         let is_open = self.book.get(&id).is_some();
-        if !is_open && !delay.is_zero() && times.is_useless(self.now, delay) {
-            self.log(format!("event=job_refused job={id} reason=load delay_ms={}", delay.as_millis()));
-            return self.refuse(reply, "there is no room in time", self.retry_time(&id));
+        let delay_ms = delay.map_or_else(|| "unknown".to_owned(), |delay| delay.as_millis().to_string());
+        let is_useless = delay.is_none_or(|delay| !delay.is_zero() && times.is_useless(self.now, delay));
+        if !is_open && is_useless {
+            self.log(format!("event=job_refused job={id} reason=load delay_ms={delay_ms}"));
+            return self.refuse(reply, "there is no room in time", find_return(delay, id));
         }
         let entry = JobEntry::new(Arc::new(job), route.clone(), self.now, times);
         self.log(format!(
-            "event=job_admitted job={id} route={} version={} tasks={} age_ms={} wanted_ms={} patience_ms={} delay_ms={}",
+            "event=job_admitted job={id} route={} version={} tasks={} age_ms={} wanted_ms={} patience_ms={} delay_ms={delay_ms}",
             route.name,
             self.plan.version(),
             entry.steps.iter().map(Vec::len).sum::<usize>(),
             self.now.since(times.asked_at).as_millis(),
             times.wanted_at.since(times.asked_at).as_millis(),
-            times.give_up_at.since(self.now).as_millis(),
-            delay.as_millis()
+            times.give_up_at.since(self.now).as_millis()
         ));
         self.book.submit(entry, reply);
     }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -10,12 +10,9 @@
 
 use super::DispatchControl;
 use crate::entry::job_entry::JobEntry;
-use crate::entry::job_order::{find_age, find_wait, JobTimes};
+use crate::entry::job_order::{find_age, find_return, find_share, find_wait, JobTimes};
 use crate::entry::worker_board::RoomRequest;
 
-/// When a caller should come back at the earliest that was refused for load.
-const RETRY_LOAD: Duration = Duration::from_secs(1);
-
 impl DispatchControl {
     /// Returns the moments that decide a job's place. Its answer is wanted within a multiple of its longest chain of
     /// steps, and a fixed time more.
@@ -104,12 +101,10 @@
             };
             let has_started = job.has_run || job.has_sent();
             let waited = self.now.since(job.arrived_at);
+            let retry_after = find_return(self.find_delay(&job.times, &job.route), id);
             self.log(format!("event=job_late job={id} waited_ms={} started={has_started}", waited.as_millis()));
-            let effects = if has_started {
-                self.book.wind_down(&id)
-            } else {
-                self.book.refuse(&id, "there is no room in time", self.retry_time(&id))
-            };
+            let effects =
+                if has_started { self.book.wind_down(&id) } else { self.book.refuse(&id, "there is no room in time", retry_after) };
             self.apply(effects);
         }
     }
@@ -121,16 +116,11 @@
         job.times.is_useless(self.now, Duration::ZERO)
     }
 
-    /// Returns the time until a job with these times would start behind what waits already, if it is placed by rank.
-    pub(super) fn find_delay(&self, times: &JobTimes, route: &RouteRule) -> Duration {
+    /// Returns the time until a job with these times would start behind what waits already, if it is placed by rank;
+    /// nothing while work waits and no worker is known.
+    pub(super) fn find_delay(&self, times: &JobTimes, route: &RouteRule) -> Option<Duration> {
         let queued = self.book.work_before(self.now, times.rank(self.now, route.priority));
         let cores = self.board.capacity_of(self.now, &route.service, &self.plan.zones_out);
-        // Each entry counts on its share of the workers.
-        find_wait(queued, cores / self.entries.len().max(1) as f64)
-    }
-
-    /// Returns when a refused caller should come back: a second or two from now, so that not all return at once.
-    pub(super) fn retry_time(&self, id: &CallerJobId) -> Duration {
-        RETRY_LOAD * (1 + (id.0 % 2) as u32)
+        find_wait(queued, find_share(cores, self.entries.len(), self.board.taken_of(&route.service)))
     }
 }
--- a/crates/runs/src/entry/job_order.rs
+++ b/crates/runs/src/entry/job_order.rs
@@ -5,11 +5,17 @@
 
 use std::time::Duration;
 
+use vanillacleat_core::caller_job::CallerJobId;
 use vanillacleat_core::units::MonoTime;
 
 /// Multiple of the wanted time within which a late answer is still worth something to its caller.
 const LATE_FACTOR: u32 = 3;
 
+/// Longest wait that is forecast; callers have gone long before.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+/// Shortest time after which a refused caller should come back; the answer's header has whole seconds.
+const RETURN_STEP: Duration = Duration::from_secs(1);
+
 /// `JobTimes` are the moments that decide a waiting job's place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobTimes {
@@ -57,7 +63,23 @@
     (timeout - patience).max(resubmit_after)
 }
 
-/// Returns the time until `queued` work, in core-seconds, has been taken by `cores` that this entry can count on.
-pub fn find_wait(queued: f64, cores: f64) -> Duration {
-    Duration::from_secs_f64((queued / cores.max(0.001)).min(3_600.0))
+/// Returns the cores that one of several entries counts on: an equal share of all, or what its jobs have `taken` already
+/// where more callers come to it than to the others.
+pub fn find_share(cores: f64, entries: usize, taken: f64) -> f64 {
+    (cores / entries.max(1) as f64).max(taken)
+}
+
+/// Returns the time until `queued` work, in core-seconds, has been taken by `cores` that this entry can count on; nothing
+/// while there is work and no core is known.
+pub fn find_wait(queued: f64, cores: f64) -> Option<Duration> {
+    if queued > 0.0 && cores <= 0.0 {
+        return None;
+    }
+    Some(Duration::from_secs_f64((queued / cores.max(f64::MIN_POSITIVE)).min(WAIT_MAX.as_secs_f64())))
+}
+
+/// Returns when a refused caller should come back: once what waits before it is taken, and a second or two later by its
+/// job's name, so that not all return at once.
+pub fn find_return(wait: Option<Duration>, job: CallerJobId) -> Duration {
+    RETURN_STEP * (1 + (job.0 % 2) as u32) + wait.unwrap_or_default()
 }
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -15,7 +15,7 @@
 pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions};
 pub use job_book::{JobBook, JobEffect};
 pub use job_entry::{JobEntry, TaskSlot};
-pub use job_order::{find_age, find_wait, JobRank, JobTimes};
+pub use job_order::{find_age, find_return, find_share, find_wait, JobRank, JobTimes};
 pub use run_times::RouteTimes;
 pub use straggler_rule::{find_threshold, RunForecast};
 pub use worker_board::{RoomRequest, WorkerBoard};
--- a/crates/runs/src/entry/worker_board.rs
+++ b/crates/runs/src/entry/worker_board.rs
@@ -204,6 +204,12 @@
         workers.map(|worker| worker.capacity.millicores as f64 / 1_000.0).sum()
     }
 
+    /// Returns the cores that runs of this entry occupy at the workers of a service.
+    pub fn taken_of(&self, service: &ServiceName) -> f64 {
+        let serves = |room: &&WorkerRoom| room.worker.as_ref().is_some_and(|worker| worker.service == *service);
+        self.rooms.values().filter(serves).map(|room| room.own.millicores as f64 / 1_000.0).sum()
+    }
+
     /// Returns whether an agent keeps the routes for the entries of `zone`: the first few there by name do.
     pub fn is_keeper(&self, agent: &AgentId, zone: &ZoneName) -> bool {
         let connected = self.rooms.values().filter(|room| room.session.is_some() && room.zone == *zone);
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -7,8 +7,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use vanillacleat_core::caller_job::CallerJobId;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_runs::entry::{find_age, find_wait, JobRank, JobTimes};
+use vanillacleat_runs::entry::{find_age, find_return, find_share, find_wait, JobRank, JobTimes};
 
 /// Jobs that can be at work at once.
 const ROOMS: usize = 40;
@@ -106,5 +107,24 @@
     assert!(times.is_useless(now, millis(501)));
     let impatient = JobTimes { give_up_at: now + millis(300), ..times };
     assert!(impatient.is_useless(now, millis(201)));
-    assert_eq!(find_wait(40.0, 80.0), millis(500));
+    assert_eq!(find_wait(40.0, 80.0), Some(millis(500)));
+    assert_eq!(find_wait(0.0, 0.0), Some(Duration::ZERO), "the first job waits for the first worker");
+    assert_eq!(find_wait(1.0, 0.0), None, "nobody knows");
+}
+
+#[test]
+fn an_entry_with_more_callers_than_others_counts_on_what_it_has() {
+    // Eight entries share 800 cores, and a third of all callers come to this one.
+    let (cores, entries) = (800.0, 8);
+    assert_eq!(find_wait(60.0, find_share(cores, entries, 0.0)), Some(millis(600)));
+    assert_eq!(find_wait(60.0, find_share(cores, entries, 40.0)), Some(millis(600)), "a quiet entry may still take its share");
+    assert_eq!(find_wait(60.0, find_share(cores, entries, 240.0)), Some(millis(250)));
+    assert_eq!(find_wait(60.0, find_share(cores, 0, 0.0)), Some(millis(75)), "before the entries are read there is one");
+}
+
+#[test]
+fn refused_callers_are_told_when_there_is_room_and_not_all_the_same() {
+    let returns = [2_u64, 3].map(|job| find_return(Some(millis(2_500)), CallerJobId(job)));
+    assert_eq!(returns, [millis(3_500), millis(4_500)]);
+    assert_eq!(find_return(None, CallerJobId(2)), millis(1_000), "the first workers are found within a second");
 }
