--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -207,7 +207,9 @@
     let chance = (WORKERS as u64 * SLOTS * load) as f64 / (100.0 * 4.0 * 225.0);
     for now in 1..SPAN_MS {
         model.end_tasks(now);
-        (0..WORKERS).filter(|worker| (now + *worker as u64 * 4) % REPORT_MS == 0 || now == 1).for_each(|worker| model.report(now, worker));
+        (0..WORKERS)
+            .filter(|worker| (now + *worker as u64 * 4).is_multiple_of(REPORT_MS) || now == 1)
+            .for_each(|worker| model.report(now, worker));
         if arrivals.random_bool(chance.min(1.0)) {
             model.arrive(now, &mut arrivals);
         }
