--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -13,7 +13,7 @@
 use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerOffer};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
-use vanillacleat_runs::entry::{RoomRequest, WorkerBoard};
+use vanillacleat_runs::entry::{RoomRequest, WorkerBoard, WorkerRoom};
 
 const ENTRIES: usize = 3;
 const WORKERS: usize = 12;
@@ -29,6 +29,11 @@
 /// How an entry chooses a worker for a task of a job whose last task went to `last`.
 type Choice = fn(&WorkerBoard, MonoTime, &ZoneName, &RoomRequest<'_>, Option<&AgentId>, &mut ChaCha8Rng) -> Option<AgentId>;
 
+/// Returns the workers that have room for a task, as far as the entry knows.
+fn find_fitting<'a>(board: &'a WorkerBoard, now: MonoTime, request: &'a RoomRequest<'_>) -> impl Iterator<Item = &'a WorkerRoom> {
+    board.rooms().filter(move |room| board.is_usable(now, room) && request.demand.fits(&room.room()))
+}
+
 fn choose_ours(
     board: &WorkerBoard,
     now: MonoTime,
@@ -48,9 +53,8 @@
     _: Option<&AgentId>,
     rng: &mut ChaCha8Rng,
 ) -> Option<AgentId> {
-    let fitting: Vec<&AgentId> =
-        board.rooms().filter(|room| board.is_usable(now, room) && request.demand.fits(&room.room())).map(|room| &room.agent).collect();
-    (!fitting.is_empty()).then(|| fitting[rng.random_range(0..fitting.len())].clone())
+    let fitting: Vec<&WorkerRoom> = find_fitting(board, now, request).collect();
+    (!fitting.is_empty()).then(|| fitting[rng.random_range(0..fitting.len())].agent.clone())
 }
 
 fn choose_least_loaded(
@@ -61,8 +65,7 @@
     _: Option<&AgentId>,
     _: &mut ChaCha8Rng,
 ) -> Option<AgentId> {
-    let fitting = board.rooms().filter(|room| board.is_usable(now, room) && request.demand.fits(&room.room()));
-    fitting.max_by_key(|room| room.room().millicores).map(|room| room.agent.clone())
+    find_fitting(board, now, request).max_by_key(|room| room.room().millicores).map(|room| room.agent.clone())
 }
 
 /// A task of the model: the job it belongs to, when that came, and its run time in milliseconds.
