Oversized bodies are read to their end before the answer

Cause: the entry answered 413 while the caller still sent the body and then closed the connection without saying so; the caller's next request on it was lost (invalid_jobs_are_rejected, flaky with 8 copies). Rocket's JSON guard stops at its limit, and reports every I/O error as an oversized body.

Change: JsonBody and TextBody read the rest within a bound; beyond it the answer carries Connection: close. Errors other than the size answer 400.

--- a/crates/agent/src/http_api.rs
+++ b/crates/agent/src/http_api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use rocket::http::Status;
-use rocket::serde::json::{self, Json};
+use rocket::serde::json::Json;
 use rocket::{catch, catchers, delete, get, post, routes, State};
 use tokio::sync::oneshot;
 use vanillacleat_control::agent::AgentEvent;
@@ -11,7 +11,7 @@
 use vanillacleat_core::api::ProblemBody;
 use vanillacleat_core::ids::UpstreamName;
 use vanillacleat_core::outcome::RefusalCode;
-use vanillacleat_daemon::{launch_server, render_metrics, server_config, EventSender, ProblemReply, ServerError};
+use vanillacleat_daemon::{launch_server, render_metrics, server_config, BodyError, EventSender, JsonBody, ProblemReply, ServerError};
 
 use crate::agent_input::AgentInput;
 
@@ -25,8 +25,8 @@
 }
 
 #[post("/v1/upstreams", data = "<announcement>")]
-fn announce_upstream(events: &Events, announcement: Result<Json<UpstreamAnnouncement>, json::Error<'_>>) -> Result<Status, ProblemReply> {
-    let announcement = announcement.map_err(|error| bad_request(error.to_string()))?.into_inner();
+fn announce_upstream(events: &Events, announcement: Result<JsonBody<UpstreamAnnouncement>, BodyError>) -> Result<Status, ProblemReply> {
+    let JsonBody(announcement) = announcement.map_err(|error| bad_request(error.to_string()).with_body_error(&error))?;
     if announcement.address.parse::<SocketAddr>().is_err() {
         return Err(bad_request(format!("address: {:?} is not an ip:port", announcement.address)));
     }
@@ -78,5 +78,5 @@
 fn bad_request(detail: String) -> ProblemReply {
     let code = RefusalCode::BadRequest.to_string();
     let body = ProblemBody { code, outcome: "refused".to_owned(), ran: "no".to_owned(), detail, retry_after_ms: None };
-    ProblemReply { status: Status::BadRequest, body }
+    ProblemReply { status: Status::BadRequest, body, closes_connection: false }
 }
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -13,6 +13,8 @@
 use tokio::sync::oneshot;
 use vanillacleat_core::api::ProblemBody;
 
+use crate::request_body::BodyError;
+
 /// Maximum size of a request body, in bytes.
 pub const BODY_BYTES_MAX: u64 = 4 * 1024 * 1024;
 
@@ -37,6 +39,15 @@
     pub status: Status,
     /// The body. Its `retry_after_ms`, if set, is also sent as the `retry-after` header, rounded up to seconds.
     pub body: ProblemBody,
+    /// Whether the server closes the connection after the response. The response then says so.
+    pub closes_connection: bool,
+}
+
+impl ProblemReply {
+    /// Returns the reply with the status of a rejected body. It closes the connection if a part of the body is unread.
+    pub fn with_body_error(self, error: &BodyError) -> Self {
+        Self { status: error.status(), closes_connection: error.closes_connection(), ..self }
+    }
 }
 
 impl<'r, 'o: 'r> Responder<'r, 'o> for ProblemReply {
@@ -44,6 +55,9 @@
         let retry_seconds = self.body.retry_after_ms.map(|millis| millis.div_ceil(1_000));
         let mut builder = Response::build_from(Json(self.body).respond_to(request)?);
         builder.status(self.status);
+        if self.closes_connection {
+            builder.header(Header::new("connection", "close"));
+        }
         if let Some(seconds) = retry_seconds {
             builder.header(Header::new("retry-after", seconds.to_string()));
         }
--- a/crates/entry/src/http_api.rs
+++ b/crates/entry/src/http_api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use rocket::http::Status;
-use rocket::serde::json::{self, Json};
+use rocket::serde::json::Json;
 use rocket::{catch, catchers, delete, get, post, put, routes, State};
 use tokio::sync::oneshot;
 use vanillacleat_control::entry::{CallerCall, CallerReply};
@@ -14,13 +14,15 @@
 use vanillacleat_core::outcome::{CallRefusal, RefusalCode, TaskOutcome};
 use vanillacleat_core::ticket::Ticket;
 use vanillacleat_core::units::Millis;
-use vanillacleat_daemon::{launch_server, render_metrics, server_config, EventSender, ProblemReply, ServerError};
+use vanillacleat_daemon::{
+    launch_server, render_metrics, server_config, BodyError, EventSender, JsonBody, ProblemReply, ServerError, TextBody,
+};
 
 use crate::entry_input::EntryInput;
 
 type Events = State<EventSender<EntryInput>>;
 type Reply<T> = Result<Json<T>, ProblemReply>;
-type JobBody<'r> = Result<Json<JobSpec>, json::Error<'r>>;
+type JobBody = Result<JsonBody<JobSpec>, BodyError>;
 
 /// Starts the server, which runs until the runtime is shut down.
 pub(crate) async fn start_server(address: SocketAddr, events: EventSender<EntryInput>) -> Result<(), ServerError> {
@@ -40,14 +42,14 @@
 }
 
 #[put("/v1/jobs/<ticket>", data = "<spec>")]
-async fn submit_job(events: &Events, ticket: &str, spec: JobBody<'_>) -> Reply<JobView> {
+async fn submit_job(events: &Events, ticket: &str, spec: JobBody) -> Reply<JobView> {
     let ticket = parse_ticket(ticket)?;
     let spec = read_body(spec)?;
     job_reply(call_control(events, CallerCall::Submit(ticket, spec)).await?)
 }
 
 #[put("/v1/jobs/by-name/<name>", data = "<spec>")]
-async fn submit_named(events: &Events, name: &str, spec: JobBody<'_>) -> Reply<JobView> {
+async fn submit_named(events: &Events, name: &str, spec: JobBody) -> Reply<JobView> {
     let name: JobName = name.parse().map_err(bad_request)?;
     let spec = read_body(spec)?;
     job_reply(call_control(events, CallerCall::SubmitNamed(name, spec)).await?)
@@ -72,11 +74,12 @@
     team: &str,
     idempotent: Option<bool>,
     deadline_ms: Option<u64>,
-    payload: String,
+    payload: Result<TextBody, BodyError>,
 ) -> Result<String, ProblemReply> {
     let service: ServiceName = service.parse().map_err(bad_request)?;
     let team: TeamName = team.parse().map_err(bad_request)?;
     let deadline_ms = deadline_ms.map_or(DEADLINE_MILLIS_DEFAULT, Millis);
+    let TextBody(payload) = payload.map_err(|error| bad_request(&error).with_body_error(&error))?;
     let task = TaskSpec { payload, declared_ms: None, demand: TaskDemand::default() };
     let spec = JobSpec { service, team, deadline_ms, tasks: vec![task] };
     match call_control(events, CallerCall::Request(spec, idempotent.unwrap_or(false))).await? {
@@ -94,7 +97,7 @@
 }
 
 #[post("/v1/config/changes", data = "<change>")]
-async fn change_config(events: &Events, change: Result<Json<ChangeRequest>, json::Error<'_>>) -> Reply<ChangeOutcome> {
+async fn change_config(events: &Events, change: Result<JsonBody<ChangeRequest>, BodyError>) -> Reply<ChangeOutcome> {
     let ChangeRequest { id, based_on, edits } = read_body(change)?;
     match call_control(events, CallerCall::Change(ConfigChange { id, based_on, edits })).await? {
         CallerReply::Changed(outcome) => Ok(Json(outcome)),
@@ -141,16 +144,8 @@
     text.parse().map_err(|error: vanillacleat_core::Error| refusal_reply(&CallRefusal::new(RefusalCode::TicketForged, error)))
 }
 
-fn read_body<T>(body: Result<Json<T>, json::Error<'_>>) -> Result<T, ProblemReply> {
-    match body {
-        Ok(body) => Ok(body.into_inner()),
-        // Rocket reports a body over the size limit as an I/O error.
-        Err(json::Error::Io(error)) => {
-            let reply = bad_request(format!("the body can't be read: {error}"));
-            Err(ProblemReply { status: Status::PayloadTooLarge, ..reply })
-        }
-        Err(json::Error::Parse(_, error)) => Err(bad_request(format!("the body is not valid: {error}"))),
-    }
+fn read_body<T>(body: Result<JsonBody<T>, BodyError>) -> Result<T, ProblemReply> {
+    body.map(|JsonBody(body)| body).map_err(|error| bad_request(&error).with_body_error(&error))
 }
 
 /// Converts a reply to the view of a job. A reply that is neither an answer nor pending becomes a problem.
@@ -173,7 +168,7 @@
     };
     let code = format!("request-{}", outcome.name().replace('_', "-"));
     let body = ProblemBody { code, outcome: outcome.name().to_owned(), ran: ran.to_owned(), detail, retry_after_ms: None };
-    Err(ProblemReply { status, body })
+    Err(ProblemReply { status, body, closes_connection: false })
 }
 
 /// Returns the problem for a reply that is not the expected answer: a refusal, or a reply to another kind of call.
@@ -198,7 +193,7 @@
         detail: refusal.detail.to_string(),
         retry_after_ms: refusal.retry_after_ms.map(|millis| millis.0),
     };
-    ProblemReply { status: refusal_status(refusal.code), body }
+    ProblemReply { status: refusal_status(refusal.code), body, closes_connection: false }
 }
 
 fn refusal_status(code: RefusalCode) -> Status {
