--- a/crates/control/src/agent/dialer.rs
+++ b/crates/control/src/agent/dialer.rs
@@ -56,6 +56,21 @@
         self.entries.entry(address).or_insert(state);
     }
 
+    /// Removes the addresses that don't satisfy `is_kept`.
+    pub fn retain_addresses(&mut self, is_kept: impl Fn(&SmolStr) -> bool) {
+        self.entries.retain(|address, _| is_kept(address));
+    }
+
+    /// Returns whether an address is dialed or connected.
+    pub fn is_known(&self, address: &SmolStr) -> bool {
+        self.entries.contains_key(address)
+    }
+
+    /// Returns the number of consecutive dials of an address that failed; zero if it is connected or unknown.
+    pub fn failed_dials(&self, address: &SmolStr) -> u32 {
+        self.entries.get(address).map_or(0, |state| state.failures)
+    }
+
     /// Records that a session with the entry at `address` is open.
     pub fn record_connected(&mut self, address: &SmolStr) {
         if let Some(state) = self.entries.get_mut(address) {
--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -37,8 +37,12 @@
 /// Reports what changed since the previous report, and how much of the worker is in use.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
-    /// Identifies this report. The entry's next frame echoes it, which renews the session's lease.
-    pub nonce: u64,
+    /// The agent's clock when it sent the report, in milliseconds since the start of its process.
+    pub sent_at: Millis,
+    /// Whether the entry has to answer with a frame, which renews the session's lease or shows that the entry is reachable.
+    pub needs_answer: bool,
+    /// Number of entries that the agent has sessions with. They share the worker's capacity.
+    pub entries: u32,
     /// Runs that ended, or that never started.
     pub ends: Vec<RunEnd>,
     /// Resources used by the runs of all entries, including queued starts.
@@ -132,15 +136,27 @@
     Plan(Box<SitePlan>),
     /// Requests the site plan that the agent holds.
     PlanRequest,
-    /// Sends the addresses at which entries accept sessions.
-    Entries(Vec<SmolStr>),
+    /// Sends the entries that the platform's store lists.
+    Entries(Vec<EntryRecord>),
+}
+
+/// An entry as agents know it before they open a session.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// Where the entry accepts sessions.
+    pub address: SmolStr,
+    /// The entry's availability zone; absent if only the address is known.
+    pub zone: Option<ZoneName>,
+    /// The processor capacity of the entry's host, in millicores; zero if it is unknown.
+    pub millicores: u64,
 }
 
 /// Runs that an agent is to start and to stop.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunOrders {
-    /// The nonce of the newest report that the entry received.
-    pub echoed_nonce: u64,
+    /// A time on the agent's clock that has certainly passed when the entry sends this frame, in milliseconds. The session's
+    /// lease counts from it.
+    pub leased_from: Millis,
     /// The payloads that the starts refer to by index.
     pub payloads: Vec<SmolStr>,
     /// Runs to start.
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -10,6 +10,9 @@
 /// Interval between the tick events, which trigger periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Maximum number of events that are handled in one step.
+const BATCH_EVENTS_MAX: usize = 256;
+
 /// Whether the control thread continues after an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ControlStep {
@@ -19,10 +22,19 @@
     Stop,
 }
 
+/// The events that a control thread handles in one step.
+#[derive(Debug)]
+pub struct EventBatch<E> {
+    /// The events, in the order in which they were sent.
+    pub events: Vec<E>,
+    /// How long the oldest event has waited.
+    pub lag: Duration,
+}
+
 /// Sends events to the control thread without blocking.
 #[derive(Debug)]
 pub struct EventSender<E> {
-    sender: Sender<E>,
+    sender: Sender<(Duration, E)>,
 }
 
 impl<E> Clone for EventSender<E> {
@@ -34,7 +46,7 @@
 impl<E> EventSender<E> {
     /// Sends an event. An event sent after the control thread has exited is dropped, as if the process had died.
     pub fn send(&self, event: E) {
-        let _ = self.sender.send(event);
+        let _ = self.sender.send((time_since_boot(), event));
     }
 }
 
@@ -67,6 +79,20 @@
     pause: PauseSwitch,
     tick: fn() -> E,
     mut step: impl FnMut(MonoTime, E) -> ControlStep + Send + 'static,
+) -> std::io::Result<(EventSender<E>, JoinHandle<()>)> {
+    let step_batch = move |now, batch: EventBatch<E>| {
+        let outcomes = batch.events.into_iter().map(|event| step(now, event));
+        outcomes.fold(ControlStep::Continue, |outcome, next| if outcome == ControlStep::Stop { outcome } else { next })
+    };
+    spawn_batch_thread(name, pause, tick, step_batch)
+}
+
+/// Starts a control thread like [`spawn_control_thread`], which calls `step` with all events that are waiting.
+pub fn spawn_batch_thread<E: Send + 'static>(
+    name: &str,
+    pause: PauseSwitch,
+    tick: fn() -> E,
+    mut step: impl FnMut(MonoTime, EventBatch<E>) -> ControlStep + Send + 'static,
 ) -> std::io::Result<(EventSender<E>, JoinHandle<()>)> {
     let (sender, receiver) = mpsc::channel();
     let run = move || run_control(&receiver, &pause, tick, &mut step);
@@ -74,27 +100,35 @@
     Ok((EventSender { sender }, thread))
 }
 
-fn run_control<E>(receiver: &Receiver<E>, pause: &PauseSwitch, tick: fn() -> E, step: &mut impl FnMut(MonoTime, E) -> ControlStep) {
+fn run_control<E>(
+    receiver: &Receiver<(Duration, E)>,
+    pause: &PauseSwitch,
+    tick: fn() -> E,
+    step: &mut impl FnMut(MonoTime, EventBatch<E>) -> ControlStep,
+) {
     let started_at = time_since_boot();
     let mut last_tick_at = started_at;
     loop {
         let until_tick = TICK_INTERVAL.saturating_sub(time_since_boot().saturating_sub(last_tick_at));
-        let event = receiver.recv_timeout(until_tick);
+        let first = receiver.recv_timeout(until_tick);
         pause.wait_while_paused();
-        let now = MonoTime::from_elapsed(time_since_boot().saturating_sub(started_at));
-        let outcome = match event {
-            Ok(event) => step(now, event),
-            Err(RecvTimeoutError::Timeout) => ControlStep::Continue,
-            Err(RecvTimeoutError::Disconnected) => ControlStep::Stop,
-        };
-        if outcome == ControlStep::Stop {
-            return;
+        let woken_at = time_since_boot();
+        let mut batch = EventBatch { events: Vec::new(), lag: Duration::ZERO };
+        match first {
+            Ok((sent_at, event)) => {
+                batch.lag = woken_at.saturating_sub(sent_at);
+                batch.events.push(event);
+                batch.events.extend(receiver.try_iter().take(BATCH_EVENTS_MAX - 1).map(|(_, event)| event));
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
         }
-        if time_since_boot().saturating_sub(last_tick_at) < TICK_INTERVAL {
-            continue;
+        if woken_at.saturating_sub(last_tick_at) >= TICK_INTERVAL {
+            last_tick_at = woken_at;
+            batch.events.push(tick());
         }
-        last_tick_at = time_since_boot();
-        if step(now, tick()) == ControlStep::Stop {
+        let now = MonoTime::from_elapsed(woken_at.saturating_sub(started_at));
+        if !batch.events.is_empty() && step(now, batch) == ControlStep::Stop {
             return;
         }
     }
--- a/crates/runs-daemon/src/agent_daemon.rs
+++ b/crates/runs-daemon/src/agent_daemon.rs
@@ -7,6 +7,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime};
 use vanillacleat_runs::agent::{RunnerControl, RunnerEvent, RunnerOptions, WorkerNotice};
 
@@ -33,8 +34,9 @@
         self.events.send(AgentInput::Event(RunnerEvent::WorkerDeregistered(worker)));
     }
 
-    /// Adds addresses of entries to connect to. Known addresses that are missing from `entries` are not removed.
-    pub fn update_entries(&self, entries: Vec<SmolStr>) {
+    /// Updates the entries that the agent selects from. Known entries that are missing from a list with zones are forgotten
+    /// once they can't be reached.
+    pub fn update_entries(&self, entries: Vec<EntryRecord>) {
         self.events.send(AgentInput::Event(RunnerEvent::EntriesRead(entries)));
     }
 
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::ReplyId;
+use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
-use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime};
+use vanillacleat_daemon::{install_metrics, spawn_batch_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchControl, DispatchEvent, DispatchOptions};
 use vanillacleat_wire::{run_session, serve_listener, session_queue, IncomingStream, SessionStream};
 
@@ -66,8 +66,8 @@
         self.events.send(EntryInput::Event(DispatchEvent::PlanRead(plan)));
     }
 
-    /// Updates the addresses of all entries.
-    pub fn update_entries(&self, entries: Vec<SmolStr>) {
+    /// Updates the list of all entries.
+    pub fn update_entries(&self, entries: Vec<EntryRecord>) {
         self.events.send(EntryInput::Event(DispatchEvent::EntriesRead(entries)));
     }
 
@@ -104,9 +104,9 @@
         let pause = PauseSwitch::default();
         let status = Arc::new(EntryStatus::default());
         let mut entry_loop = EntryLoop::new(DispatchControl::new(make_options(settings)), status.clone());
-        let step = move |now, input| entry_loop.step(now, input);
+        let step = move |now, batch| entry_loop.step(now, batch);
         let tick = || EntryInput::Event(DispatchEvent::Tick);
-        let (events, thread) = spawn_control_thread("entry-control", pause.clone(), tick, step).change_context(DaemonError::Start)?;
+        let (events, thread) = spawn_batch_thread("entry-control", pause.clone(), tick, step).change_context(DaemonError::Start)?;
         let listener = runtime.block_on(TcpListener::bind(settings.mesh_listen)).change_context(DaemonError::Start)?;
         let session_events = events.clone();
         runtime.handle().spawn(serve_listener(listener, move |stream| serve_stream(stream, session_events.clone())));
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -8,7 +8,7 @@
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::ControlStep;
+use vanillacleat_daemon::{ControlStep, EventBatch};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent};
 use vanillacleat_wire::SessionQueue;
 
@@ -48,34 +48,31 @@
         Self { control, status, answer_senders: HashMap::new(), session_queues: HashMap::new(), next_session: 0 }
     }
 
-    pub(crate) fn step(&mut self, now: MonoTime, input: EntryInput) -> ControlStep {
-        let event = match input {
-            EntryInput::Event(event) => event,
-            EntryInput::Request(reply, request, answer_sender) => {
-                self.answer_senders.insert(reply, answer_sender);
-                DispatchEvent::Requested { reply, request }
-            }
-            EntryInput::RegisterSession(queue, session_sender) => {
-                self.next_session += 1;
-                let session = SessionId(self.next_session);
-                self.session_queues.insert(session, queue);
-                // The send fails if the task that serves the session no longer exists. The session then ends with it.
-                let _ = session_sender.send(session);
-                return ControlStep::Continue;
-            }
-            EntryInput::Dump(state_sender) => {
+    /// Handles the inputs that are waiting.
+    pub(crate) fn step(&mut self, now: MonoTime, batch: EventBatch<EntryInput>) -> ControlStep {
+        metrics::histogram!("runs_control_lag_seconds").record(batch.lag.as_secs_f64());
+        let mut events = Vec::with_capacity(batch.events.len());
+        for input in batch.events {
+            match input {
+                EntryInput::Event(event) => events.push(event),
+                EntryInput::Request(reply, request, answer_sender) => {
+                    self.answer_senders.insert(reply, answer_sender);
+                    events.push(DispatchEvent::Requested { reply, request });
+                }
+                EntryInput::RegisterSession(queue, session_sender) => self.register_session(queue, session_sender),
                 // The send fails if the requester has disconnected.
-                let _ = state_sender.send(self.control.dump());
-                return ControlStep::Continue;
+                EntryInput::Dump(state_sender) => drop(state_sender.send(self.control.dump())),
+                EntryInput::Stop => return ControlStep::Stop,
             }
-            EntryInput::Stop => return ControlStep::Stop,
-        };
-        match &event {
-            DispatchEvent::SessionClosed(session) => drop(self.session_queues.remove(session)),
-            DispatchEvent::CallerDisconnected(reply) => drop(self.answer_senders.remove(reply)),
-            _ => {}
         }
-        let actions = self.control.handle(now, event);
+        for event in &events {
+            match event {
+                DispatchEvent::SessionClosed(session) => drop(self.session_queues.remove(session)),
+                DispatchEvent::CallerDisconnected(reply) => drop(self.answer_senders.remove(reply)),
+                _ => {}
+            }
+        }
+        let actions = self.control.handle_batch(now, batch.lag, events);
         let is_drained = actions.iter().any(|action| matches!(action, DispatchAction::Drained));
         actions.into_iter().for_each(|action| self.execute(action));
         self.publish_status();
@@ -85,6 +82,14 @@
         ControlStep::Continue
     }
 
+    fn register_session(&mut self, queue: SessionQueue<OrderFrame>, session_sender: oneshot::Sender<SessionId>) {
+        self.next_session += 1;
+        let session = SessionId(self.next_session);
+        self.session_queues.insert(session, queue);
+        // The send fails if the task that serves the session no longer exists. The session then ends with it.
+        let _ = session_sender.send(session);
+    }
+
     fn execute(&mut self, action: DispatchAction) {
         match action {
             DispatchAction::Reply { reply, answer } => {
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -130,10 +130,15 @@
         self.used
     }
 
-    /// Returns the total demand of one session's runs, queued ones included.
-    pub fn used_by(&self, owner: SessionId) -> ResourceAmount {
-        let owned = self.runs.values().filter(|record| record.owner == Some(owner));
-        owned.fold(ResourceAmount::default(), |sum, record| sum + record.demand)
+    /// Returns the total demand of each session's runs, queued ones included. Sessions without runs are left out.
+    pub fn used_by_owner(&self) -> BTreeMap<SessionId, ResourceAmount> {
+        let mut used: BTreeMap<SessionId, ResourceAmount> = BTreeMap::new();
+        for record in self.runs.values() {
+            if let Some(owner) = record.owner {
+                *used.entry(owner).or_default() += record.demand;
+            }
+        }
+        used
     }
 
     /// Returns the progress of one session's running runs.
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -12,26 +12,19 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
 use smol_str::SmolStr;
-use vanillacleat_control::agent::EntryDialer;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunOutcome};
+use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunOutcome};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
 
 use super::calls::{WorkerCall, WorkerReply};
+use super::entry_selection::EntrySelection;
 use super::run_table::{RunRecord, RunState, RunTable};
 use super::session_lease::SessionLease;
 use super::worker_incarnation::{WorkerIncarnation, WorkerNotice};
 use crate::LeaseTerms;
 
-/// Initial delay between two dials of an entry.
-const REDIAL_MIN: Duration = Duration::from_millis(100);
-/// Maximum delay between two dials of an entry.
-const REDIAL_MAX: Duration = Duration::from_millis(800);
-/// Number of dials at the initial delay. Entries that start at the same time as the agents take a little longer to
-/// accept sessions, which must not make the agents back off.
-const REDIALS_WITHOUT_BACKOFF: u32 = 8;
 /// Increment of a fencing token that the worker rejected as too low. Tokens are taken from the wall clock in
 /// milliseconds, which may have been set back since an earlier agent of this host took its token.
 const FENCING_TOKEN_STEP: u64 = 60_000;
@@ -92,8 +85,8 @@
         /// The result of the call.
         reply: WorkerReply,
     },
-    /// The addresses of entries were read from the store or the settings.
-    EntriesRead(Vec<SmolStr>),
+    /// The entries were read from the store or the settings.
+    EntriesRead(Vec<EntryRecord>),
     /// The process was asked to drain and exit.
     Drain,
     /// Periodic maintenance is due.
@@ -142,7 +135,8 @@
     incarnation_number: u64,
     runs: RunTable,
     sessions: BTreeMap<SessionId, SessionLease>,
-    dialer: EntryDialer,
+    next_selection_at: MonoTime,
+    selection: EntrySelection,
     rng: ChaCha8Rng,
     plan: SitePlan,
     polls: lease_polls::PollState,
@@ -162,7 +156,8 @@
             incarnation_number: 0,
             runs: RunTable::default(),
             sessions: BTreeMap::new(),
-            dialer: EntryDialer::new(options.entries.clone()).with_redial(REDIAL_MIN, REDIAL_MAX, REDIALS_WITHOUT_BACKOFF),
+            next_selection_at: MonoTime::ZERO,
+            selection: EntrySelection::new(&options.agent, &options.zone, &options.entries),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             polls: lease_polls::PollState::default(),
@@ -184,7 +179,7 @@
             RunnerEvent::WorkerHeartbeat(notice) => self.handle_heartbeat(notice),
             RunnerEvent::WorkerDeregistered(worker) => self.handle_deregistration(&worker),
             RunnerEvent::Replied { incarnation_number, reply } => self.handle_reply(incarnation_number, reply),
-            RunnerEvent::EntriesRead(entries) => entries.into_iter().for_each(|address| self.dialer.add_address(address)),
+            RunnerEvent::EntriesRead(entries) => self.add_entries(entries),
             RunnerEvent::Drain => self.start_drain(),
             RunnerEvent::Tick => {}
         }
@@ -193,6 +188,9 @@
         self.send_stops();
         self.poll_lease();
         self.send_reports();
+        if self.now >= self.next_selection_at {
+            self.update_selection();
+        }
         self.dial_entries();
         self.finish_drain();
         std::mem::take(&mut self.actions)
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -26,9 +26,8 @@
 
 impl RunnerControl {
     pub(super) fn handle_frame(&mut self, session: SessionId, frame: OrderFrame) {
-        let now = self.now;
         if let Some(lease) = self.sessions.get_mut(&session) {
-            lease.record_received(now);
+            lease.record_received();
         }
         match frame {
             OrderFrame::Orders(orders) => self.handle_orders(session, orders),
@@ -37,7 +36,7 @@
                 let plan = Box::new(self.plan.clone());
                 self.actions.push(RunnerAction::Send { session, frame: RunFrame::Plan(plan) });
             }
-            OrderFrame::Entries(entries) => entries.into_iter().for_each(|address| self.dialer.add_address(address)),
+            OrderFrame::Entries(entries) => self.add_entries(entries),
         }
     }
 
@@ -53,7 +52,7 @@
         let Some(lease) = self.sessions.get_mut(&session) else {
             return;
         };
-        lease.renew(orders.echoed_nonce, duration);
+        lease.renew(self.now, orders.leased_from, duration);
         let RunOrders { payloads, starts, stops, .. } = orders;
         for start in starts {
             let payload = payloads.get(usize::from(start.payload)).cloned().unwrap_or_default();
@@ -66,7 +65,7 @@
         let Some(lease) = self.sessions.get(&session) else {
             return;
         };
-        let may_start = lease.is_valid(self.now) && self.accepts_starts();
+        let may_start = lease.is_valid(self.now) && !lease.is_retiring && self.accepts_starts();
         let record = RunRecord {
             owner: Some(session),
             entry: lease.address.clone(),
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -4,23 +4,26 @@
 
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
-use vanillacleat_core::run_frames::{RunFrame, RunHello, RunReport};
+use vanillacleat_core::run_frames::{EntryRecord, RunFrame, RunHello, RunReport};
+use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::{RunnerAction, RunnerControl};
 use crate::agent::session_lease::SessionLease;
 
-/// Interval between two reports on a session. It is about a third of the session's lease, so that renewals overlap.
+/// Interval between two reports that need an answer, on a session whose entry has runs here. It is about a third of the session's lease, so that
+/// renewals overlap.
 const REPORT_INTERVAL: Duration = Duration::from_millis(120);
-
-/// Multiplied by the number of open sessions, this is the minimum interval between two reports on one session if the
-/// second is sent early only because the capacity used by other entries has changed. The interval is at most
-/// [`REPORT_INTERVAL`]. Because it grows with the number of sessions, the total rate of early reports stays bounded as
-/// entries are added.
-const CAPACITY_INTERVAL_PER_SESSION: Duration = Duration::from_millis(15);
+/// The same on a session whose entry has no run here. The answer shows that the entry is still reachable.
+const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Minimum interval between two reports on a session if the second is sent only because the capacity used by other entries has
+/// changed.
+const CAPACITY_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between two selections of the entries to keep sessions with, if the list of entries has not changed.
+const SELECTION_INTERVAL: Duration = Duration::from_millis(250);
 
 impl RunnerControl {
     pub(super) fn handle_session_opened(&mut self, session: SessionId, address: SmolStr) {
-        self.dialer.record_connected(&address);
+        self.selection.dialer.record_connected(&address);
         let mut unsettled = Vec::new();
         for (run, record) in self.runs.iter_mut().filter(|(_, record)| record.entry == address && record.owner.is_none()) {
             record.owner = Some(session);
@@ -42,7 +45,7 @@
         if session.is_some_and(|session| !self.sessions.contains_key(&session)) {
             return;
         }
-        self.dialer.record_disconnected(address, self.now, &mut self.rng);
+        self.selection.dialer.record_disconnected(address, self.now, &mut self.rng);
         if let Some(session) = session {
             self.remove_session(session, "broken");
         }
@@ -71,7 +74,7 @@
         let silent: Vec<(SessionId, SmolStr)> = silent.map(|(session, lease)| (*session, lease.address.clone())).collect();
         for (session, address) in silent {
             self.actions.push(RunnerAction::Close(session));
-            self.dialer.record_disconnected(&address, self.now, &mut self.rng);
+            self.selection.dialer.record_disconnected(&address, self.now, &mut self.rng);
             self.remove_session(session, "silent");
         }
         let now = self.now;
@@ -82,35 +85,47 @@
             .collect();
         for (session, address) in lapsed {
             let runs = self.runs.select(|record| record.owner == Some(session));
-            self.log(format!("event=lease_lapsed entry={address} runs={}", runs.len()));
+            // The lease of an entry without runs is not renewed.
+            if !runs.is_empty() {
+                self.log(format!("event=lease_lapsed entry={address} runs={}", runs.len()));
+            }
             runs.iter().for_each(|run| self.stop_run(run));
         }
     }
 
     /// Sends the reports that are due. A run that ended is reported at once, and so is a change of the worker's
-    /// information or of whether the agent accepts starts. Otherwise a report is sent after [`REPORT_INTERVAL`], or
-    /// earlier if the capacity used by other entries has changed.
+    /// information or of whether the agent accepts starts. Otherwise a report is sent at an interval that depends on whether
+    /// the entry has runs here, or if the capacity used by other entries has changed.
     pub(super) fn send_reports(&mut self) {
         let worker_info = self.incarnation.as_ref().map(|incarnation| incarnation.worker_info());
-        let is_closed = !self.accepts_starts();
-        let now = self.now;
-        let capacity_interval = REPORT_INTERVAL.min(CAPACITY_INTERVAL_PER_SESSION * self.sessions.len() as u32);
+        let accepts_starts = self.accepts_starts();
+        let (now, entries) = (self.now, self.sessions.len() as u32);
+        let (used, used_by_session) = (self.runs.used(), self.runs.used_by_owner());
         for (session, lease) in &mut self.sessions {
-            let used_by_others = self.runs.used().saturating_sub(&self.runs.used_by(*session));
-            let interval = if lease.reported_used_by_others == used_by_others { REPORT_INTERVAL } else { capacity_interval };
-            let is_due = lease.reported_at.is_none_or(|at| now.since(at) >= interval);
-            if !is_due && lease.ends.is_empty() && lease.reported_worker == worker_info && lease.reported_closed == is_closed {
+            let used_by_entry = used_by_session.get(session).copied();
+            let used_by_others = used.saturating_sub(&used_by_entry.unwrap_or_default());
+            let is_closed = !accepts_starts || lease.is_retiring;
+            let age = |at: Option<MonoTime>| at.map_or(Duration::MAX, |at| now.since(at));
+            let ask_interval = if used_by_entry.is_some() { REPORT_INTERVAL } else { IDLE_REPORT_INTERVAL };
+            let is_ask_due = age(lease.asked_at) >= ask_interval;
+            let is_capacity_due = lease.reported_used_by_others != used_by_others && age(lease.reported_at) >= CAPACITY_INTERVAL;
+            let has_news = !lease.ends.is_empty() || lease.reported_worker != worker_info || lease.reported_closed != is_closed;
+            if !is_ask_due && !is_capacity_due && !has_news {
                 continue;
             }
+            let needs_answer = is_ask_due || lease.is_retiring;
+            lease.record_report_sent(now, needs_answer);
             let report = RunReport {
-                nonce: lease.record_report_sent(now),
+                sent_at: Millis(now.as_micros() / 1_000),
+                needs_answer,
+                entries,
                 ends: std::mem::take(&mut lease.ends),
-                used: self.runs.used(),
-                used_by_entry: self.runs.used_by(*session),
+                used,
+                used_by_entry: used_by_entry.unwrap_or_default(),
                 worker: if lease.reported_worker == worker_info { None } else { worker_info.clone() },
                 is_closed,
                 plan_version: self.plan.version().0,
-                progress: self.runs.progress_of(*session),
+                progress: if used_by_entry.is_some() { self.runs.progress_of(*session) } else { Vec::new() },
             };
             lease.reported_worker.clone_from(&worker_info);
             lease.reported_closed = is_closed;
@@ -127,7 +142,35 @@
         if !is_settled && self.sessions.is_empty() {
             return;
         }
-        let dials = self.dialer.due_addresses(self.now, &mut self.rng);
+        let dials = self.selection.dialer.due_addresses(self.now, &mut self.rng);
         self.actions.extend(dials.into_iter().map(RunnerAction::Dial));
     }
+
+    /// Adds entries that the platform's store lists.
+    pub(super) fn add_entries(&mut self, entries: Vec<EntryRecord>) {
+        self.selection.add_entries(entries);
+        self.update_selection();
+    }
+
+    /// Selects the entries to keep sessions with. A session with an entry that is no longer selected is closed once none of
+    /// its runs is left.
+    pub(super) fn update_selection(&mut self) {
+        self.next_selection_at = self.now + SELECTION_INTERVAL;
+        self.selection.update();
+        let mut retired = Vec::new();
+        for (session, lease) in &mut self.sessions {
+            lease.is_retiring = !self.selection.dialer.is_known(&lease.address);
+            // An entry that is selected again while its session is still open must not be dialed.
+            self.selection.dialer.record_connected(&lease.address);
+            let is_idle = lease.ends.is_empty() && !self.runs.iter().any(|(_, record)| record.owner == Some(*session));
+            // The answer to the report that the agent is closed follows all starts that the entry sent before it.
+            if lease.is_retiring && lease.reported_closed && lease.is_answered() && is_idle {
+                retired.push(*session);
+            }
+        }
+        for session in retired {
+            self.actions.push(RunnerAction::Close(session));
+            self.remove_session(session, "not_selected");
+        }
+    }
 }
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -1,23 +1,20 @@
 //! A session with an entry and the lease that the entry renews over it.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::run_frames::{RunEnd, WorkerInfo};
-use vanillacleat_core::units::MonoTime;
+use vanillacleat_core::units::{Millis, MonoTime};
 
-/// Time without a frame from the entry after which its session is closed and dialed again. Entries answer each report.
-/// The session survives shorter delays, because opening a new one costs a slow entry more than answering late.
+/// Time after which a session is closed and dialed again if a report on it is not answered. The session survives shorter
+/// delays, because opening a new one costs a slow entry more than answering late.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Maximum number of unanswered reports that are kept; older ones can no longer renew the lease.
-const PENDING_REPORTS_MAX: usize = 32;
 
 /// One session with an entry, and the lease under which the runs of that entry may be running.
 ///
-/// The agent sends reports with increasing nonces. An entry that repeats a nonce renews the lease from the time at
-/// which the agent sent that report.
+/// Reports carry the agent's clock. The entry's orders carry a time on that clock that has certainly passed, and renew the
+/// lease from that time. An order that was delayed on its way grants accordingly less.
 #[derive(Debug)]
 pub struct SessionLease {
     /// The address at which the entry listens.
@@ -32,11 +29,13 @@
     pub reported_used_by_others: ResourceAmount,
     /// When the last report was sent.
     pub reported_at: Option<MonoTime>,
-    /// The nonces of unanswered reports and when each report was sent, oldest first.
-    pending_reports: VecDeque<(u64, MonoTime)>,
-    last_nonce: u64,
+    /// When the last report that needs an answer was sent.
+    pub asked_at: Option<MonoTime>,
+    /// Whether the session is closed once no run of the entry is left, because the agent no longer selects the entry.
+    pub is_retiring: bool,
+    /// When the oldest unanswered report was sent. The entry answers the hello as well.
+    unanswered_since: Option<MonoTime>,
     leased_until: MonoTime,
-    last_received_at: MonoTime,
     is_lapse_reported: bool,
 }
 
@@ -50,40 +49,35 @@
             reported_closed: true,
             reported_used_by_others: ResourceAmount::default(),
             reported_at: None,
-            pending_reports: VecDeque::new(),
-            last_nonce: 0,
+            asked_at: None,
+            is_retiring: false,
+            unanswered_since: Some(now),
             leased_until: MonoTime::ZERO,
-            last_received_at: now,
             is_lapse_reported: false,
         }
     }
 
-    /// Records that a report is sent at `now` and returns its nonce.
-    pub fn record_report_sent(&mut self, now: MonoTime) -> u64 {
-        self.last_nonce += 1;
+    /// Records that a report is sent at `now`.
+    pub fn record_report_sent(&mut self, now: MonoTime, needs_answer: bool) {
         self.reported_at = Some(now);
-        self.pending_reports.push_back((self.last_nonce, now));
-        if self.pending_reports.len() > PENDING_REPORTS_MAX {
-            self.pending_reports.pop_front();
+        if needs_answer {
+            self.asked_at = Some(now);
+            self.unanswered_since.get_or_insert(now);
         }
-        self.last_nonce
     }
 
-    /// Records that a frame from the entry was received at `now`.
-    pub fn record_received(&mut self, now: MonoTime) {
-        self.last_received_at = now;
+    /// Records that a frame from the entry was received.
+    pub fn record_received(&mut self) {
+        self.unanswered_since = None;
     }
 
-    /// Renews the lease after the entry repeated `nonce`: the lease lasts for `duration` from the time at which the
-    /// report with that nonce was sent. A nonce that was already repeated renews nothing.
-    pub fn renew(&mut self, nonce: u64, duration: Duration) {
-        while let Some((pending_nonce, sent_at)) = self.pending_reports.front().copied() {
-            if pending_nonce > nonce {
-                return;
-            }
-            self.leased_until = self.leased_until.max(sent_at + duration);
+    /// Renews the lease: it lasts for `duration` from `leased_from` on the agent's clock. A time that has not passed yet counts
+    /// as `now`. An earlier time than that of the last renewal renews nothing.
+    pub fn renew(&mut self, now: MonoTime, leased_from: Millis, duration: Duration) {
+        let leased_until = MonoTime::from_millis(leased_from.0).min(now) + duration;
+        if leased_until > self.leased_until {
+            self.leased_until = leased_until;
             self.is_lapse_reported = false;
-            self.pending_reports.pop_front();
         }
     }
 
@@ -99,8 +93,13 @@
         has_lapsed
     }
 
-    /// Returns whether the entry has sent nothing for so long that the session should be closed and dialed again.
+    /// Returns whether the entry has answered all reports that need it.
+    pub fn is_answered(&self) -> bool {
+        self.unanswered_since.is_none()
+    }
+
+    /// Returns whether a report has been unanswered for so long that the session should be closed and dialed again.
     pub fn is_silent(&self, now: MonoTime) -> bool {
-        now.since(self.last_received_at) >= SILENCE_TIMEOUT
+        self.unanswered_since.is_some_and(|since| now.since(since) >= SILENCE_TIMEOUT)
     }
 }
--- a/crates/runs/src/agent/worker_incarnation.rs
+++ b/crates/runs/src/agent/worker_incarnation.rs
@@ -1,15 +1,12 @@
 //! One incarnation of the worker beside an agent, and its clock.
 
-use std::time::Duration;
-
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::ids::ServiceName;
 use vanillacleat_core::run_frames::WorkerInfo;
-use vanillacleat_core::units::{Millis, MonoTime};
+use vanillacleat_core::units::Millis;
 
-/// Minimum rate of a worker's clock relative to the agent's, in percent. Workers guarantee that their clocks are at most 2% slow.
-const CLOCK_RATE_PERCENT_MIN: u32 = 98;
+use crate::remote_clock::RemoteClock;
 
 /// A heartbeat of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,42 +29,13 @@
     pub cold: Millis,
 }
 
-/// A lower bound of a worker's clock, computed from the readings in its answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct WorkerClock {
-    reading: Option<(MonoTime, u64)>,
-}
-
-impl WorkerClock {
-    /// Records a reading that was received at `now`, if it raises the lower bound. The worker's clock showed at least
-    /// `clock` at that time.
-    pub fn record(&mut self, now: MonoTime, clock: u64) {
-        if self.at(now).is_none_or(|lower_bound| clock > lower_bound) {
-            self.reading = Some((now, clock));
-        }
-    }
-
-    /// Returns a value that the clock has certainly reached at `now`, or `None` before the first reading.
-    pub fn at(&self, now: MonoTime) -> Option<u64> {
-        let (at, clock) = self.reading?;
-        let elapsed = now.since(at) * CLOCK_RATE_PERCENT_MIN / 100;
-        Some(clock + elapsed.as_millis() as u64)
-    }
-
-    /// Returns when a lease of `duration` that begins at `now` ends on the worker's clock. Before the first reading it
-    /// returns zero, which is a lease that has already ended.
-    pub fn lease_end(&self, now: MonoTime, duration: Duration) -> u64 {
-        self.at(now).map_or(0, |clock| clock + duration.as_millis() as u64)
-    }
-}
-
 /// One incarnation of the worker: from a start of the process until it exits or crashes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerIncarnation {
     /// The latest heartbeat.
     pub notice: WorkerNotice,
     /// Lower bound of the worker's clock.
-    pub clock: WorkerClock,
+    pub clock: RemoteClock,
     /// Number of the last ended run that the agent has processed.
     pub observed: u64,
     /// Number of the last ended run that an answered lease poll has acknowledged to the worker.
@@ -80,7 +48,7 @@
 impl WorkerIncarnation {
     /// Returns an incarnation of which only a heartbeat is known.
     pub fn new(notice: WorkerNotice) -> Self {
-        Self { notice, clock: WorkerClock::default(), observed: 0, acknowledged: 0, is_settled: false }
+        Self { notice, clock: RemoteClock::default(), observed: 0, acknowledged: 0, is_settled: false }
     }
 
     /// Returns whether a heartbeat comes from this incarnation.
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use serde_json::{json, Value};
-use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::ids::{AgentId, ZoneName};
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunOrders};
+use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunOrders};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_api::{CallerAnswer, CallerRequest};
+use super::entry_load::EntryLoad;
 use super::job_table::JobTable;
 use super::run_times::RouteTimes;
 use super::worker_registry::WorkerRegistry;
@@ -69,8 +69,8 @@
     SessionClosed(SessionId),
     /// The plan was read from the platform.
     PlanRead(SitePlan),
-    /// The addresses of all entries were read from the platform.
-    EntriesRead(Vec<SmolStr>),
+    /// The list of all entries was read from the platform.
+    EntriesRead(Vec<EntryRecord>),
     /// The process was asked to drain and exit.
     Drain,
     /// The periodic timer fired.
@@ -111,10 +111,11 @@
     next_maintenance_at: MonoTime,
     options: DispatchOptions,
     plan: SitePlan,
-    entries: Vec<SmolStr>,
+    entries: Vec<EntryRecord>,
     job_table: JobTable,
     worker_registry: WorkerRegistry,
     route_times: RouteTimes,
+    load: EntryLoad,
     /// Orders that the current event has produced, by session.
     pending_orders: BTreeMap<SessionId, RunOrders>,
     /// When the first report was received whose nonce has not been echoed yet, by session.
@@ -132,6 +133,7 @@
     /// Returns the state of an entry that has just started.
     pub fn new(options: DispatchOptions) -> Self {
         let worker_registry = WorkerRegistry::new(options.lease_terms.session_lease);
+        let load = EntryLoad::new(options.lease_terms.session_lease);
         Self {
             now: MonoTime::ZERO,
             resumed_at: MonoTime::ZERO,
@@ -142,6 +144,7 @@
             job_table: JobTable::default(),
             worker_registry,
             route_times: RouteTimes::default(),
+            load,
             pending_orders: BTreeMap::new(),
             pending_echoes: BTreeMap::new(),
             sent_route_versions: BTreeMap::new(),
@@ -152,13 +155,44 @@
         }
     }
 
-    /// Handles an event that occurred at `now`. Returns the actions in the order in which to execute them.
+    /// Handles one event that occurred at `now`. Returns the actions in the order in which to execute them.
     pub fn handle(&mut self, now: MonoTime, event: DispatchEvent) -> Vec<DispatchAction> {
+        self.handle_batch(now, Duration::ZERO, vec![event])
+    }
+
+    /// Handles the events that have been received by `now`; the oldest of them was received `lag` earlier. Frames of agents are
+    /// handled before callers' requests: they free capacity and renew leases. Tasks are placed once, after all events.
+    pub fn handle_batch(&mut self, now: MonoTime, lag: Duration, events: Vec<DispatchEvent>) -> Vec<DispatchAction> {
         if now.since(self.now) > STALL_THRESHOLD {
             // This process was stalled and received nothing meanwhile. Missing reports don't mean that the agents were silent.
             self.resumed_at = now;
         }
         self.now = self.now.max(now);
+        self.load.record_lag(self.now, lag);
+        let (mut requests, others): (Vec<_>, Vec<_>) =
+            events.into_iter().partition(|event| matches!(event, DispatchEvent::Requested { .. }));
+        // A caller may have disconnected since it sent its request.
+        let is_disconnected = |request: &DispatchEvent| {
+            let DispatchEvent::Requested { reply, .. } = request else {
+                return false;
+            };
+            others.iter().any(|event| matches!(event, DispatchEvent::CallerDisconnected(other) if other == reply))
+        };
+        requests.retain(|request| !is_disconnected(request));
+        others.into_iter().for_each(|event| self.handle_event(event));
+        if self.now >= self.next_maintenance_at {
+            self.next_maintenance_at = self.now + MAINTENANCE_INTERVAL;
+            self.run_maintenance();
+        }
+        self.update_load();
+        requests.into_iter().for_each(|event| self.handle_event(event));
+        self.place_ready_tasks();
+        self.flush_orders();
+        self.finish_drain();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn handle_event(&mut self, event: DispatchEvent) {
         match event {
             DispatchEvent::Requested { reply, request } => self.handle_request(reply, request),
             DispatchEvent::CallerDisconnected(reply) => {
@@ -172,14 +206,15 @@
             DispatchEvent::Drain => self.start_drain(),
             DispatchEvent::Tick => {}
         }
-        if self.now >= self.next_maintenance_at {
-            self.next_maintenance_at = self.now + MAINTENANCE_INTERVAL;
-            self.run_maintenance();
+    }
+
+    /// Notices whether the entry is behind, and logs each change.
+    fn update_load(&mut self) {
+        let (is_strained, has_changed) = self.load.update(self.now);
+        if has_changed {
+            let (jobs, share) = (self.job_table.jobs().count(), self.worker_registry.delayed_share(self.load.lag_max()));
+            self.log(format!("event=load_changed strained={is_strained} delayed_share={share:.2} jobs={jobs}"));
         }
-        self.place_ready_tasks();
-        self.flush_orders();
-        self.finish_drain();
-        std::mem::take(&mut self.actions)
     }
 
     /// Returns the table of open jobs.
@@ -203,6 +238,11 @@
         self.plan.table.is_some() && has_workers && self.draining_since.is_none()
     }
 
+    /// Returns whether the entry is behind, so that it admits no jobs.
+    pub fn is_strained(&self) -> bool {
+        self.load.is_strained()
+    }
+
     /// Returns whether the entry is draining.
     pub fn is_draining(&self) -> bool {
         self.draining_since.is_some()
@@ -227,6 +267,9 @@
                 "is_connected": worker.session.is_some(),
                 "is_usable": self.worker_registry.is_usable(self.now, worker),
                 "room_millicores": worker.free_capacity().millicores,
+                "runs": worker.runs,
+                "entries": worker.entries,
+                "report_delay_ms": worker.report_delay.as_millis(),
                 "heard": worker.last_received_at.to_string(),
             })
         });
@@ -236,7 +279,8 @@
             "plan_version": self.plan.version(),
             "zones_out": self.plan.zones_out,
             "is_draining": self.is_draining(),
-            "entries": self.entries,
+            "is_strained": self.load.is_strained(),
+            "entries": self.entries.iter().map(|entry| &entry.address).collect::<Vec<_>>(),
             "workers": workers.collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(),
         })
@@ -246,6 +290,7 @@
     fn run_maintenance(&mut self) {
         self.close_silent_sessions();
         self.record_slow_workers();
+        self.load.record_delayed_share(self.worker_registry.delayed_share(self.load.lag_max()));
         self.expire_agents();
         self.expire_late_jobs();
         self.job_table.evict_final_phases(self.now);
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -55,6 +55,10 @@
             self.log(format!("event=job_refused job={id} reason=leaving"));
             return self.refuse(reply, "the entry is leaving", RETRY_AFTER_UNREADY);
         }
+        if self.load.is_strained() && self.job_table.get(&id).is_none() {
+            self.log(format!("event=job_refused job={id} reason=strained"));
+            return self.refuse(reply, "the entry is overloaded", resubmit_delay(None, id));
+        }
         if let Some(unsupported) = draft.unsupported {
             self.log(format!("event=job_refused job={id} reason={unsupported:?}"));
             return self.refuse(reply, unsupported, RETRY_AFTER_UNSUPPORTED);
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::site_plan::RouteRule;
 
 use super::DispatchControl;
-use crate::entry::job_order::{core_share, job_age, queue_wait, resubmit_delay, JobTimes};
+use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
 use crate::entry::open_job::OpenJob;
 use crate::entry::worker_registry::CapacityRequest;
 
@@ -38,9 +38,10 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Sends waiting tasks to workers with free capacity, in the order of their jobs' ranks.
+    /// Sends waiting tasks to workers with free capacity, in the order of their jobs' ranks. An entry that is behind sends
+    /// none: it could not follow their runs.
     pub(super) fn place_ready_tasks(&mut self) {
-        if !self.worker_registry.has_free_capacity(self.now) {
+        if self.load.is_strained() || !self.job_table.has_ready() || !self.worker_registry.has_free_capacity(self.now) {
             return;
         }
         for id in self.job_table.ready_jobs(self.now) {
@@ -83,7 +84,7 @@
         let Some(run) = self.job_table.mark_sent(task, agent) else {
             return;
         };
-        self.worker_registry.reserve(agent, demand);
+        self.worker_registry.reserve(self.now, agent, demand);
         let orders = self.pending_orders.entry(session).or_default();
         if orders.payloads.last() != Some(payload) {
             orders.payloads.push(payload.clone());
@@ -127,7 +128,6 @@
     /// it. Returns `None` if there is such work and the service has no healthy worker and no run of this entry.
     pub(super) fn start_delay(&self, times: &JobTimes, route: &RouteRule) -> Option<Duration> {
         let queued = self.job_table.work_ahead(self.now, times.rank(self.now, route.priority));
-        let cores = self.worker_registry.healthy_cores(self.now, &route.service, &self.plan.zones_out);
-        queue_wait(queued, core_share(cores, self.entries.len(), self.worker_registry.reserved_cores(&route.service)))
+        queue_wait(queued, self.worker_registry.expected_cores(&route.service, &self.plan.zones_out))
     }
 }
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport};
+use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::Millis;
 
@@ -15,8 +14,9 @@
 /// Maximum delay of the renewal of a session's lease. The delay lets the renewal share a frame with orders.
 const ECHO_DELAY_MAX: Duration = Duration::from_millis(40);
 
-/// Time without a report after which a session is closed. Agents close it after the same time without a frame from the entry.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without a report after which a session is closed. Agents without runs of this entry report once a second, and close the
+/// session if a report is not answered for a second.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 impl DispatchControl {
     pub(super) fn handle_frame(&mut self, session: SessionId, frame: RunFrame) {
@@ -78,7 +78,9 @@
         }
         self.record_progress(&agent, &report.progress);
         self.send_routes(session, &agent, report.plan_version);
-        self.pending_echoes.entry(session).or_insert(self.now);
+        if report.needs_answer {
+            self.pending_echoes.entry(session).or_insert(self.now);
+        }
     }
 
     fn handle_run_end(&mut self, agent: &AgentId, end: &RunEnd) {
@@ -142,7 +144,7 @@
         }
     }
 
-    pub(super) fn handle_entries(&mut self, entries: Vec<SmolStr>) {
+    pub(super) fn handle_entries(&mut self, entries: Vec<EntryRecord>) {
         if entries == self.entries {
             return;
         }
@@ -163,7 +165,7 @@
         }
         for (session, mut orders) in std::mem::take(&mut self.pending_orders) {
             self.pending_echoes.remove(&session);
-            orders.echoed_nonce = self.worker_registry.last_nonce(session);
+            orders.leased_from = self.worker_registry.lease_start(session);
             self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Orders(orders) });
         }
     }
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -134,6 +134,11 @@
         self.iter_ready().filter(|job| job.rank(now) < rank).map(OpenJob::waiting_work).sum()
     }
 
+    /// Returns whether any task is ready to be placed.
+    pub fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
     fn iter_ready(&self) -> impl Iterator<Item = &OpenJob> {
         self.ready.iter().filter_map(|id| self.jobs.get(id))
     }
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller_api;
 mod dispatch;
+mod entry_load;
 mod job_order;
 mod job_table;
 mod open_job;
@@ -16,6 +17,7 @@
 
 pub use caller_api::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
 pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions};
+pub use entry_load::EntryLoad;
 pub use job_order::{core_share, job_age, queue_wait, resubmit_delay, JobRank, JobTimes};
 pub use job_table::{JobEffect, JobTable};
 pub use open_job::{OpenJob, TaskSlot};
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -6,13 +6,17 @@
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerInfo};
-use vanillacleat_core::units::MonoTime;
+use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::worker_performance::WorkerPerformance;
+use crate::RemoteClock;
 
 /// Time for which no task is placed on a worker after its agent rejected a start.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(30);
 
+/// Age of the last report up to which an agent without runs of this entry gets starts. Such agents report once a second.
+const IDLE_REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
+
 /// Part of a worker's processor capacity that is left to the entries of its own zone, in percent.
 const LOCAL_ZONE_PERCENT: u64 = 20;
 
@@ -37,8 +41,20 @@
     pub reserved: ResourceAmount,
     /// When the last report, or the hello, was received.
     pub last_received_at: MonoTime,
-    /// The nonce of the last report, or zero before the first.
-    pub last_nonce: u64,
+    /// When the last start was sent while no run of this entry was at the agent. Its lease counts from then.
+    pub activated_at: MonoTime,
+    /// The number of this entry's runs that were sent to the agent and whose ends have not been reported.
+    pub runs: u32,
+    /// The number of entries that share the worker's capacity, as last reported.
+    pub entries: u32,
+    /// How much later than the fastest reports the last one arrived.
+    pub report_delay: Duration,
+    /// Whether the worker counted as slow at the last maintenance.
+    pub is_slow: bool,
+    /// Lower bound of the agent's clock.
+    clock: RemoteClock,
+    /// The agent's clock when it sent the last report.
+    last_sent_at: Millis,
     /// When the session was lost. Absent while one is open.
     pub lost_at: Option<MonoTime>,
     /// Whether its runs were recorded as lost since the last report.
@@ -60,7 +76,13 @@
             used_by_others: ResourceAmount::default(),
             reserved: ResourceAmount::default(),
             last_received_at: now,
-            last_nonce: 0,
+            activated_at: MonoTime::ZERO,
+            runs: 0,
+            entries: 1,
+            report_delay: Duration::ZERO,
+            is_slow: false,
+            clock: RemoteClock::default(),
+            last_sent_at: Millis(0),
             lost_at: None,
             is_expired: false,
             performance: WorkerPerformance::default(),
@@ -72,7 +94,10 @@
     pub(super) fn record_report(&mut self, now: MonoTime, report: &RunReport) {
         self.last_received_at = now;
         self.is_expired = false;
-        self.last_nonce = report.nonce;
+        self.clock.record(now, report.sent_at.0);
+        self.report_delay = self.clock.transfer_delay(now, report.sent_at.0);
+        self.last_sent_at = report.sent_at;
+        self.entries = report.entries.max(1);
         self.is_closed = report.is_closed;
         self.used_by_others = report.used.saturating_sub(&report.used_by_entry);
         if report.worker.is_some() {
@@ -80,6 +105,45 @@
         }
     }
 
+    /// Records that a start is sent to the agent.
+    pub(super) fn record_start(&mut self, now: MonoTime, demand: ResourceAmount) {
+        if self.runs == 0 {
+            self.activated_at = now;
+        }
+        self.runs += 1;
+        self.reserved += demand;
+    }
+
+    /// Records the end of a run.
+    pub(super) fn record_end(&mut self, demand: ResourceAmount) {
+        self.runs = self.runs.saturating_sub(1);
+        self.reserved -= demand;
+    }
+
+    /// Returns the time on the agent's clock from which an order that is sent now leases the session. While runs of this entry
+    /// are at the agent, this is the time of the last report, so that the lease ends if the agent falls silent. If the
+    /// last report came before the first start, it is a time that has certainly passed when that start was sent.
+    pub fn lease_start(&self) -> Millis {
+        if self.activated_at > self.last_received_at {
+            return Millis(self.clock.at(self.activated_at).unwrap_or(0));
+        }
+        self.last_sent_at
+    }
+
+    /// Returns the time since which nothing is known of the agent: its last report, or the start that was sent to it later.
+    pub(super) fn last_contact_at(&self) -> MonoTime {
+        self.last_received_at.max(self.activated_at)
+    }
+
+    /// Returns whether the last report is recent enough for another start. `age_max` applies while runs of this entry are at
+    /// the agent, which then reports several times within that time.
+    pub(super) fn is_fresh(&self, now: MonoTime, age_max: Duration) -> bool {
+        if self.runs == 0 {
+            return now.since(self.last_received_at) < IDLE_REPORT_AGE_MAX;
+        }
+        now.since(self.last_contact_at()) < age_max
+    }
+
     /// Backs off from the worker after its agent rejected a start.
     pub(super) fn record_rejection(&mut self, now: MonoTime) {
         self.backoff_until = now + REJECTION_BACKOFF;
@@ -101,6 +165,6 @@
     /// Returns whether starts may be sent to the agent at `now`.
     pub fn is_usable(&self, now: MonoTime) -> bool {
         let is_ready = self.info.as_ref().is_some_and(|info| info.is_ready);
-        self.session.is_some() && is_ready && !self.is_closed && now >= self.backoff_until
+        self.session.is_some() && is_ready && !self.is_closed && !self.is_expired && now >= self.backoff_until
     }
 }
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -8,8 +8,9 @@
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::ids::{AgentId, ServiceName, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport};
-use vanillacleat_core::units::MonoTime;
+use vanillacleat_core::units::{Millis, MonoTime};
 
+use super::job_order::core_share;
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_performance::WorkerPerformance;
@@ -38,8 +39,6 @@
 pub struct WorkerRegistry {
     workers: BTreeMap<AgentId, WorkerCapacity>,
     by_session: BTreeMap<SessionId, AgentId>,
-    /// The slowness at which a worker counts as slow.
-    slowness_threshold: f64,
     report_age_max: Duration,
 }
 
@@ -53,7 +52,7 @@
     /// Returns a registry without workers. An agent whose last report is older than `report_age_max` gets no starts.
     /// This is the length of the session's lease: agents reject starts once the lease has ended.
     pub fn new(report_age_max: Duration) -> Self {
-        Self { workers: BTreeMap::new(), by_session: BTreeMap::new(), slowness_threshold: f64::INFINITY, report_age_max }
+        Self { workers: BTreeMap::new(), by_session: BTreeMap::new(), report_age_max }
     }
 
     /// Records an agent's hello on a new session. Returns whether it comes from a new incarnation of a known agent.
@@ -64,6 +63,8 @@
         let is_restarted = previous.is_some_and(|previous| previous.incarnation != hello.incarnation);
         if let Some(previous) = previous {
             worker.reserved = previous.reserved;
+            worker.runs = previous.runs;
+            worker.is_slow = previous.is_slow;
             worker.performance = previous.performance.clone();
         }
         self.workers.insert(hello.agent.clone(), worker);
@@ -88,16 +89,16 @@
     }
 
     /// Reserves capacity for a start that is sent to an agent.
-    pub fn reserve(&mut self, agent: &AgentId, demand: ResourceAmount) {
+    pub fn reserve(&mut self, now: MonoTime, agent: &AgentId, demand: ResourceAmount) {
         if let Some(worker) = self.workers.get_mut(agent) {
-            worker.reserved += demand;
+            worker.record_start(now, demand);
         }
     }
 
     /// Releases the capacity of a run that has ended.
     pub fn release(&mut self, agent: &AgentId, demand: ResourceAmount) {
         if let Some(worker) = self.workers.get_mut(agent) {
-            worker.reserved -= demand;
+            worker.record_end(demand);
         }
     }
 
@@ -115,13 +116,16 @@
 
     /// Recomputes the slowness threshold from all workers. Returns the agents of the workers that are slow.
     pub fn update_slow_workers(&mut self, now: MonoTime) -> Vec<AgentId> {
-        self.slowness_threshold = slowness_threshold(self.workers.values().map(|worker| worker.performance.slowness(now)));
-        let slow = self.workers.values().filter(|worker| self.is_slow(now, worker));
-        slow.map(|worker| worker.agent.clone()).collect()
-    }
-
-    fn is_slow(&self, now: MonoTime, worker: &WorkerCapacity) -> bool {
-        worker.performance.slowness(now).is_some_and(|slowness| slowness >= self.slowness_threshold)
+        let slownesses: Vec<Option<f64>> = self.workers.values().map(|worker| worker.performance.slowness(now)).collect();
+        let threshold = slowness_threshold(slownesses.iter().copied());
+        let mut slow = Vec::new();
+        for (worker, slowness) in self.workers.values_mut().zip(slownesses) {
+            worker.is_slow = slowness.is_some_and(|slowness| slowness >= threshold);
+            if worker.is_slow {
+                slow.push(worker.agent.clone());
+            }
+        }
+        slow
     }
 
     /// Returns the state of an agent's worker.
@@ -129,10 +133,22 @@
         self.workers.get(agent)
     }
 
-    /// Returns the nonce of the last report on a session, or zero before the first.
-    pub fn last_nonce(&self, session: SessionId) -> u64 {
+    /// Returns the time on the agent's clock from which an order on a session leases it; zero if the session is unknown.
+    pub fn lease_start(&self, session: SessionId) -> Millis {
         let worker = self.by_session.get(&session).and_then(|agent| self.workers.get(agent));
-        worker.filter(|worker| worker.session == Some(session)).map_or(0, |worker| worker.last_nonce)
+        worker.filter(|worker| worker.session == Some(session)).map_or(Millis(0), WorkerCapacity::lease_start)
+    }
+
+    /// Returns the share of the connected agents whose last reports arrived at least `delay` late. It is high if this process
+    /// is behind, and low if only some links are slow.
+    pub fn delayed_share(&self, delay: Duration) -> f64 {
+        let connected = self.workers.values().filter(|worker| worker.session.is_some());
+        let (mut total, mut delayed) = (0_u32, 0_u32);
+        for worker in connected {
+            total += 1;
+            delayed += u32::from(worker.report_delay >= delay);
+        }
+        f64::from(delayed) / f64::from(total.max(1))
     }
 
     /// Returns the workers in the order of their agents' names.
@@ -143,7 +159,7 @@
     /// Returns the sessions whose agents have sent no report for `age`. The time before `resumed_at`, while this
     /// process was stalled, doesn't count.
     pub fn silent_sessions(&self, now: MonoTime, resumed_at: MonoTime, age: Duration) -> Vec<SessionId> {
-        let is_silent = |worker: &&WorkerCapacity| now.since(worker.last_received_at.max(resumed_at)) >= age;
+        let is_silent = |worker: &&WorkerCapacity| now.since(worker.last_contact_at().max(resumed_at)) >= age;
         self.workers.values().filter(is_silent).filter_map(|worker| worker.session).collect()
     }
 
@@ -151,14 +167,15 @@
     /// once until it reports again. For an open session the time before `resumed_at`, while this process was stalled,
     /// doesn't count: reports that arrived meanwhile may not have been read yet.
     pub fn expire_agents(&mut self, now: MonoTime, resumed_at: MonoTime, wait: Duration) -> Vec<AgentId> {
-        let last_received_at = |worker: &WorkerCapacity| {
+        let last_contact_at = |worker: &WorkerCapacity| {
             if worker.session.is_some() {
-                worker.last_received_at.max(resumed_at)
+                worker.last_contact_at().max(resumed_at)
             } else {
-                worker.last_received_at
+                worker.last_contact_at()
             }
         };
-        let has_expired = |worker: &&mut WorkerCapacity| !worker.is_expired && now.since(last_received_at(worker)) >= wait;
+        let has_expired =
+            |worker: &&mut WorkerCapacity| worker.runs > 0 && !worker.is_expired && now.since(last_contact_at(worker)) >= wait;
         let expired = self.workers.values_mut().filter(has_expired).map(|worker| {
             worker.is_expired = true;
             worker.agent.clone()
@@ -190,7 +207,7 @@
         request: &CapacityRequest<'_>,
         last_agent: Option<&AgentId>,
     ) -> Option<&AgentId> {
-        let is_healthy = |worker: &&WorkerCapacity| !self.is_slow(now, worker) && !worker.performance.is_failing(now);
+        let is_healthy = |worker: &&WorkerCapacity| !worker.is_slow && !worker.performance.is_failing(now);
         let usable = self.workers.values().filter(|worker| self.is_usable(now, worker));
         let candidates = usable.filter(|worker| is_candidate(zones_out, request, worker)).filter(is_healthy);
         let best = candidates.min_by_key(|worker| {
@@ -209,23 +226,20 @@
 
     /// Returns whether starts may be sent to a worker at `now`: it accepts them and its session's lease has not ended.
     pub fn is_usable(&self, now: MonoTime, worker: &WorkerCapacity) -> bool {
-        worker.is_usable(now) && now.since(worker.last_received_at) < self.report_age_max
+        worker.is_usable(now) && worker.is_fresh(now, self.report_age_max)
     }
 
-    /// Returns the number of cores of a service's workers that are connected, ready, not slow and outside `zones_out`.
-    pub fn healthy_cores(&self, now: MonoTime, service: &ServiceName, zones_out: &BTreeSet<ZoneName>) -> f64 {
-        let healthy = self
-            .workers
-            .values()
-            .filter(|worker| !self.is_slow(now, worker) && !zones_out.contains(&worker.zone) && worker.session.is_some());
-        let infos = healthy.filter_map(|worker| worker.info.as_ref()).filter(|info| info.service == *service && info.is_ready);
-        infos.map(|info| info.capacity.millicores as f64 / 1_000.0).sum()
-    }
-
-    /// Returns the number of cores that runs of this entry occupy on the workers of a service.
-    pub fn reserved_cores(&self, service: &ServiceName) -> f64 {
-        let serves = |worker: &&WorkerCapacity| worker.info.as_ref().is_some_and(|info| info.service == *service);
-        self.workers.values().filter(serves).map(|worker| worker.reserved.millicores as f64 / 1_000.0).sum()
+    /// Returns the number of cores that this entry can expect to use on the workers of a service: its share of each worker that
+    /// is connected, ready, not slow and outside `zones_out`.
+    pub fn expected_cores(&self, service: &ServiceName, zones_out: &BTreeSet<ZoneName>) -> f64 {
+        let healthy =
+            self.workers.values().filter(|worker| !worker.is_slow && !zones_out.contains(&worker.zone) && worker.session.is_some());
+        let serving = healthy.filter_map(|worker| {
+            let info = worker.info.as_ref().filter(|info| info.service == *service && info.is_ready)?;
+            let (cores, reserved) = (info.capacity.millicores as f64 / 1_000.0, worker.reserved.millicores as f64 / 1_000.0);
+            Some(core_share(cores, worker.entries as usize, reserved))
+        });
+        serving.sum()
     }
 
     /// Returns whether an agent stores the routes for the entries of `zone`. The zone's first connected agents in the
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod agent;
 pub mod entry;
 mod lease_terms;
+mod remote_clock;
 
 pub use lease_terms::LeaseTerms;
+pub use remote_clock::RemoteClock;
--- /dev/null
+++ b/crates/runs/src/remote_clock.rs
@@ -0,0 +1,44 @@
+//! Estimates of the clocks of other processes.
+
+use std::time::Duration;
+
+use vanillacleat_core::units::MonoTime;
+
+/// Minimum rate of another process's clock relative to this one's, in percent. Workers guarantee that their clocks are at
+/// most 2% slow, and hosts keep time better than that.
+const CLOCK_RATE_PERCENT_MIN: u32 = 98;
+
+/// A lower bound of another process's clock, computed from the readings that it sends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RemoteClock {
+    reading: Option<(MonoTime, u64)>,
+}
+
+impl RemoteClock {
+    /// Records a reading that was received at `now`, if it raises the lower bound. The other clock showed at least
+    /// `clock` at that time.
+    pub fn record(&mut self, now: MonoTime, clock: u64) {
+        if self.at(now).is_none_or(|lower_bound| clock > lower_bound) {
+            self.reading = Some((now, clock));
+        }
+    }
+
+    /// Returns a value that the clock has certainly reached at `now`, or `None` before the first reading.
+    pub fn at(&self, now: MonoTime) -> Option<u64> {
+        let (at, clock) = self.reading?;
+        let elapsed = now.since(at) * CLOCK_RATE_PERCENT_MIN / 100;
+        Some(clock + elapsed.as_millis() as u64)
+    }
+
+    /// Returns when a lease of `duration` that begins at `now` ends on the other clock. Before the first reading it
+    /// returns zero, which is a lease that has already ended.
+    pub fn lease_end(&self, now: MonoTime, duration: Duration) -> u64 {
+        self.at(now).map_or(0, |clock| clock + duration.as_millis() as u64)
+    }
+
+    /// Returns how much later than the lower bound a reading was taken to be received at `now`: the delay of its transfer,
+    /// compared with that of the fastest one.
+    pub fn transfer_delay(&self, now: MonoTime, clock: u64) -> Duration {
+        Duration::from_millis(self.at(now).map_or(0, |lower_bound| lower_bound.saturating_sub(clock)))
+    }
+}
