Late jobs leave a part of each worker to jobs that can be answered in time

Cause: entries don't see each other's waiting jobs.

Change: a job that is late and has not begun gets no worker that is fuller than 85% (trunk reservation).

--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -15,9 +15,12 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(120);
 /// The same on a session whose entry has no run here. The answer shows that the entry is still reachable.
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Minimum interval between two reports on a session if the second is sent only because the capacity used by other entries has
-/// changed.
-const CAPACITY_INTERVAL: Duration = Duration::from_millis(250);
+/// Multiplied by the number of open sessions, this is the minimum interval between two reports on one session if the second
+/// is sent only because the free capacity has changed. The total rate of such reports stays bounded as sessions are added.
+const CAPACITY_INTERVAL_PER_SESSION: Duration = Duration::from_millis(15);
+/// Free capacity, in percent of the worker's, below which each change of it is reported. Above it an entry finds room anyway, and
+/// only changes by as much as this are reported.
+const SCARCE_PERCENT: u64 = 25;
 /// Interval between two selections of the entries to keep sessions with, if the list of entries has not changed.
 const SELECTION_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -100,6 +103,8 @@
         let worker_info = self.incarnation.as_ref().map(|incarnation| incarnation.worker_info());
         let accepts_starts = self.accepts_starts();
         let (now, entries) = (self.now, self.sessions.len() as u32);
+        let capacity = worker_info.as_ref().map_or(0, |info| info.capacity.millicores);
+        let capacity_interval = CAPACITY_INTERVAL_PER_SESSION * entries;
         let (used, used_by_session) = (self.runs.used(), self.runs.used_by_owner());
         for (session, lease) in &mut self.sessions {
             let used_by_entry = used_by_session.get(session).copied();
@@ -108,7 +113,8 @@
             let age = |at: Option<MonoTime>| at.map_or(Duration::MAX, |at| now.since(at));
             let ask_interval = if used_by_entry.is_some() { REPORT_INTERVAL } else { IDLE_REPORT_INTERVAL };
             let is_ask_due = age(lease.asked_at) >= ask_interval;
-            let is_capacity_due = lease.reported_used_by_others != used_by_others && age(lease.reported_at) >= CAPACITY_INTERVAL;
+            let is_capacity_due = age(lease.reported_at) >= capacity_interval
+                && is_significant(capacity, lease.reported_used_by_others.millicores, used_by_others.millicores, used.millicores);
             let has_news = !lease.ends.is_empty() || lease.reported_worker != worker_info || lease.reported_closed != is_closed;
             if !is_ask_due && !is_capacity_due && !has_news {
                 continue;
@@ -174,3 +180,11 @@
         }
     }
 }
+
+/// Returns whether entries should learn at once that other entries' use of a worker has changed from `before` to `after`, while
+/// all entries use `used` of its `capacity`, all in millicores.
+fn is_significant(capacity: u64, before: u64, after: u64, used: u64) -> bool {
+    let scarce = capacity * SCARCE_PERCENT / 100;
+    let freed = before.saturating_sub(after);
+    before != after && (capacity.saturating_sub(used) < scarce + freed || before.abs_diff(after) >= scarce)
+}
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -54,6 +54,8 @@
             return;
         };
         let (payload, route, job_spec) = (job.job.payload.clone(), job.route.clone(), job.job.clone());
+        // The rest of a job that has begun is placed like others, since the work that is done would be lost.
+        let is_late = job.times.is_late(self.now) && !job.has_run && !job.has_sent_runs();
         let workers = self.worker_registry.connected_count(&route.service);
         for task in job.ready_tasks() {
             let step = &job_spec.steps[usize::from(task.step)];
@@ -67,6 +69,7 @@
                 required_label: step.required_label.as_ref(),
                 preferred_rack: step.preferred_rack.as_ref(),
                 excluded: &excluded,
+                is_late,
             };
             let last = job.last_agent.as_ref();
             let chosen = self.worker_registry.choose_worker(self.now, &self.options.zone, &self.plan.zones_out, &request, last);
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -20,6 +20,10 @@
 /// Part of a worker's processor capacity that is left to the entries of its own zone, in percent.
 const LOCAL_ZONE_PERCENT: u64 = 20;
 
+/// Part of a worker's processor capacity that is left to jobs that can still be answered in time, in percent. Entries don't see
+/// each other's waiting jobs: without it, a late job of one entry takes the room that a job of another entry needs.
+const IN_TIME_PERCENT: u64 = 15;
+
 /// Holds the state of one worker and the capacity that it has for this entry.
 #[derive(Clone, Debug)]
 pub struct WorkerCapacity {
@@ -158,7 +162,17 @@
     /// Returns the part of the free capacity that entries of other zones may use without contention. The rest is left
     /// to the entries of the worker's own zone.
     pub fn capacity_for_other_zones(&self) -> ResourceAmount {
-        let millicores = self.info.as_ref().map_or(0, |info| info.capacity.millicores * LOCAL_ZONE_PERCENT / 100);
+        self.free_capacity_without(LOCAL_ZONE_PERCENT)
+    }
+
+    /// Returns the part of the free capacity that jobs may use that can't be answered in time any more.
+    pub fn capacity_for_late_jobs(&self) -> ResourceAmount {
+        self.free_capacity_without(IN_TIME_PERCENT)
+    }
+
+    /// Returns the free capacity less `percent` of the worker's processor capacity.
+    fn free_capacity_without(&self, percent: u64) -> ResourceAmount {
+        let millicores = self.info.as_ref().map_or(0, |info| info.capacity.millicores * percent / 100);
         self.free_capacity().saturating_sub(&ResourceAmount { millicores, ..ResourceAmount::default() })
     }
 
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -32,6 +32,8 @@
     pub preferred_rack: Option<&'a SmolStr>,
     /// Agents that the task must not be sent to.
     pub excluded: &'a [AgentId],
+    /// Whether the task's job can no longer end by its target time. Such a task gets no worker that is nearly full.
+    pub is_late: bool,
 }
 
 /// Holds the workers that one entry knows. It learns of them only through the sessions that their agents open.
@@ -261,7 +263,7 @@
         return false;
     };
     info.service == *request.service
-        && request.demand.fits(&worker.free_capacity())
+        && request.demand.fits(&if request.is_late { worker.capacity_for_late_jobs() } else { worker.free_capacity() })
         && !zones_out.contains(&worker.zone)
         && request.required_label.is_none_or(|label| has_label(worker, label))
         && !request.excluded.contains(&worker.agent)
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -185,7 +185,8 @@
 /// Returns whether the entry would send a start to the worker.
 fn is_usable(entry: &DispatchControl, at: u64) -> bool {
     let service = "desk".parse().expect("a valid name");
-    let request = CapacityRequest { service: &service, demand: &DEMAND, required_label: None, preferred_rack: None, excluded: &[] };
+    let request =
+        CapacityRequest { service: &service, demand: &DEMAND, required_label: None, preferred_rack: None, excluded: &[], is_late: false };
     let zone = "zone-0".parse().expect("a valid name");
     entry.worker_registry().choose_worker(MonoTime::from_millis(at), &zone, &entry.plan().zones_out, &request, None).is_some()
 }
--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -201,7 +201,14 @@
         while let Some(task) = self.waiting[entry].front().cloned() {
             let last = self.last_placed[entry].as_ref().filter(|(job, _)| *job == task.job).map(|(_, agent)| agent.clone());
             let service = self.service.clone();
-            let request = CapacityRequest { service: &service, demand: &DEMAND, required_label: None, preferred_rack: None, excluded: &[] };
+            let request = CapacityRequest {
+                service: &service,
+                demand: &DEMAND,
+                required_label: None,
+                preferred_rack: None,
+                excluded: &[],
+                is_late: false,
+            };
             let at = MonoTime::from_millis(now);
             let Some(chosen) = policy(&self.registries[entry], at, &zone(entry % ZONES), &request, last.as_ref(), rng) else {
                 return;
