--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -8,11 +8,12 @@
 use crate::operators::{CommandError, CommandResult};
 
 /// Events that do not name a request but may explain what happened to it.
-const CONTEXT_EVENTS: [&str; 14] = [
+const CONTEXT_EVENTS: [&str; 15] = [
     "agent_found",
     "agent_lost",
     "drain_started",
     "entry_lost",
+    "load_changed",
     "log_lines_dropped",
     "plan_taken",
     "process_started",
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use env_logger::{Builder, Env, Target};
 
@@ -65,7 +65,7 @@
     let filter = Env::default().default_filter_or("info,rocket=off,_=off,hyper=off,h2=off");
     let mut builder = Builder::from_env(filter);
     builder.format(|buffer, record| {
-        let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let level = record.level().as_str().to_ascii_lowercase();
         writeln!(buffer, "unix_ms={} level={level} {}", time.as_millis(), record.args())
     });
@@ -79,7 +79,9 @@
         queued.try_iter().for_each(|line| batch.extend_from_slice(&line));
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
-            batch.extend_from_slice(format!("level=warn event=log_lines_dropped count={count}\n").as_bytes());
+            let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let line = format!("unix_ms={} level=warn event=log_lines_dropped count={count}\n", time.as_millis());
+            batch.extend_from_slice(line.as_bytes());
         }
         // An error is ignored: if standard output is closed, there is nowhere to report it.
         let _ = output.write_all(&batch).and_then(|()| output.flush());
--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -4,8 +4,9 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use metrics::{Gauge, Histogram};
 use smol_str::SmolStr;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -60,11 +61,25 @@
     worker_port: WorkerPort,
     session_queues: HashMap<SessionId, SessionQueue<RunFrame>>,
     next_session: u64,
+    runs_at_worker: Gauge,
+    sessions: Gauge,
+    /// Time from a start call until the worker has answered it.
+    start_time: Histogram,
 }
 
 impl AgentLoop {
     pub(crate) fn new(control: RunnerControl, worker_port: WorkerPort, runtime_handle: Handle) -> Self {
-        Self { control, event_sink: InputSink::default(), runtime_handle, worker_port, session_queues: HashMap::new(), next_session: 0 }
+        Self {
+            control,
+            event_sink: InputSink::default(),
+            runtime_handle,
+            worker_port,
+            session_queues: HashMap::new(),
+            next_session: 0,
+            runs_at_worker: metrics::gauge!("runs_at_worker"),
+            sessions: metrics::gauge!("runs_sessions"),
+            start_time: metrics::histogram!("runs_worker_start_seconds"),
+        }
     }
 
     pub(crate) fn event_sink(&self) -> InputSink {
@@ -91,7 +106,8 @@
         let actions = self.control.handle(now, event);
         let is_drained = actions.iter().any(|action| matches!(action, RunnerAction::Drained));
         actions.into_iter().for_each(|action| self.execute(action));
-        metrics::gauge!("runs_at_worker").set(self.control.run_table().len() as f64);
+        self.runs_at_worker.set(self.control.run_table().len() as f64);
+        self.sessions.set(self.control.session_count() as f64);
         if is_drained {
             std::thread::sleep(FLUSH_DELAY);
             return ControlStep::Stop;
@@ -114,9 +130,13 @@
             }
             RunnerAction::Close(session) => drop(self.session_queues.remove(&session)),
             RunnerAction::Call { incarnation_number, worker, fencing_token, call } => {
+                let start_time = matches!(call, WorkerCall::Start { .. }).then(|| (self.start_time.clone(), Instant::now()));
                 let (event_sink, reply) = (self.event_sink.clone(), (self.worker_port)(WorkerRequest { worker, fencing_token, call }));
                 self.runtime_handle.spawn(async move {
                     let reply = reply.await;
+                    if let Some((histogram, called_at)) = start_time {
+                        histogram.record(called_at.elapsed().as_secs_f64());
+                    }
                     event_sink.send(AgentInput::Event(RunnerEvent::Replied { incarnation_number, reply }));
                 });
             }
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -4,12 +4,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
+use metrics::{Gauge, Histogram};
 use tokio::sync::oneshot;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventBatch};
-use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent};
+use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, Measurement};
 use vanillacleat_wire::SessionQueue;
 
 /// Input of the control thread.
@@ -41,16 +42,29 @@
     answer_senders: HashMap<ReplyId, oneshot::Sender<CallerAnswer>>,
     session_queues: HashMap<SessionId, SessionQueue<OrderFrame>>,
     next_session: u64,
+    /// How long the oldest input of each step has waited.
+    control_lag: Histogram,
+    sessions: Gauge,
+    strained: Gauge,
 }
 
 impl EntryLoop {
     pub(crate) fn new(control: DispatchControl, status: Arc<EntryStatus>) -> Self {
-        Self { control, status, answer_senders: HashMap::new(), session_queues: HashMap::new(), next_session: 0 }
+        Self {
+            control,
+            status,
+            answer_senders: HashMap::new(),
+            session_queues: HashMap::new(),
+            next_session: 0,
+            control_lag: metrics::histogram!("runs_control_lag_seconds"),
+            sessions: metrics::gauge!("runs_sessions"),
+            strained: metrics::gauge!("runs_entry_strained"),
+        }
     }
 
     /// Handles the inputs that are waiting.
     pub(crate) fn step(&mut self, now: MonoTime, batch: EventBatch<EntryInput>) -> ControlStep {
-        metrics::histogram!("runs_control_lag_seconds").record(batch.lag.as_secs_f64());
+        self.control_lag.record(batch.lag.as_secs_f64());
         let mut events = Vec::with_capacity(batch.events.len());
         for input in batch.events {
             match input {
@@ -93,7 +107,7 @@
     fn execute(&mut self, action: DispatchAction) {
         match action {
             DispatchAction::Reply { reply, answer } => {
-                record_answer(&answer);
+                metrics::counter!("runs_answers_total", "kind" => answer.kind()).increment(1);
                 if let Some(answer_sender) = self.answer_senders.remove(&reply) {
                     // The send fails if the caller has disconnected.
                     let _ = answer_sender.send(answer);
@@ -107,28 +121,29 @@
             }
             DispatchAction::Close(session) => drop(self.session_queues.remove(&session)),
             DispatchAction::Log(line) => log::info!("{line}"),
+            DispatchAction::Measured(measurement) => record_measurement(measurement),
             DispatchAction::Drained => {}
         }
     }
 
     fn publish_status(&self) {
+        self.sessions.set(self.session_queues.len() as f64);
+        self.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
         self.status.is_ready.store(self.control.is_ready(), Ordering::Relaxed);
         self.status.is_draining.store(self.control.is_draining(), Ordering::Relaxed);
     }
 }
 
-fn record_answer(answer: &CallerAnswer) {
-    let kind = match answer {
-        CallerAnswer::Ended(_) => "ended",
-        CallerAnswer::Phase(_) | CallerAnswer::QueueLength(_) => "read",
-        CallerAnswer::UnknownJob => "unknown",
-        CallerAnswer::Cancelled => "cancelled",
-        CallerAnswer::NoRoute => "no_route",
-        CallerAnswer::Refused { .. } => "refused",
-        CallerAnswer::Abandoned(_) => "abandoned",
-        CallerAnswer::Malformed(_) => "malformed",
+fn record_measurement(measurement: Measurement) {
+    let (histogram, after) = match measurement {
+        Measurement::Placed { priority, after } => {
+            (metrics::histogram!("runs_placement_wait_seconds", "priority" => priority.to_string()), after)
+        }
+        Measurement::Answered { priority, kind, after } => {
+            (metrics::histogram!("runs_response_seconds", "priority" => priority.to_string(), "kind" => kind), after)
+        }
     };
-    metrics::counter!("runs_answers_total", "kind" => kind).increment(1);
+    histogram.record(after.as_secs_f64());
 }
 
 /// Returns the input for a frame that an agent sent.
--- a/crates/runs/src/entry/caller_api.rs
+++ b/crates/runs/src/entry/caller_api.rs
@@ -71,6 +71,22 @@
     Malformed(SmolStr),
 }
 
+impl CallerAnswer {
+    /// Returns the name of the kind of answer, as metrics show it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ended(_) => "ended",
+            Self::Phase(_) | Self::QueueLength(_) => "read",
+            Self::UnknownJob => "unknown",
+            Self::Cancelled => "cancelled",
+            Self::NoRoute => "no_route",
+            Self::Refused { .. } => "refused",
+            Self::Abandoned(_) => "abandoned",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
 /// The state of a job as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum JobPhase {
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -98,10 +98,33 @@
     Close(SessionId),
     /// Writes a log line of key=value pairs.
     Log(String),
+    /// Records a duration in a histogram.
+    Measured(Measurement),
     /// The entry has drained and may exit.
     Drained,
 }
 
+/// A duration that operators see in a histogram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measurement {
+    /// The first task of a job was sent to a worker.
+    Placed {
+        /// The priority of the job's route.
+        priority: u32,
+        /// The time since the job arrived.
+        after: Duration,
+    },
+    /// An admitted job was answered.
+    Answered {
+        /// The priority of the job's route.
+        priority: u32,
+        /// The kind of the answer.
+        kind: &'static str,
+        /// The time since the job arrived.
+        after: Duration,
+    },
+}
+
 /// The whole control state of one entry. Feed it events and execute the actions that it returns.
 #[derive(Debug)]
 pub struct DispatchControl {
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -7,7 +7,7 @@
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId};
 use vanillacleat_core::site_plan::RouteRule;
 
-use super::{DispatchAction, DispatchControl};
+use super::{DispatchAction, DispatchControl, Measurement};
 use crate::entry::caller_api::{parse_target, CallerAnswer, CallerRequest, JobDraft, PathTarget, RequestKind};
 use crate::entry::job_order::resubmit_delay;
 use crate::entry::job_table::JobEffect;
@@ -125,7 +125,9 @@
     pub(super) fn apply_effects(&mut self, effects: Vec<JobEffect>) {
         for effect in effects {
             match effect {
-                JobEffect::Answer { job, waiters, answer } => {
+                JobEffect::Answer { job, arrival: (arrived_at, priority), waiters, answer } => {
+                    let after = self.now.since(arrived_at);
+                    self.actions.push(DispatchAction::Measured(Measurement::Answered { priority, kind: answer.kind(), after }));
                     self.log(format!("event=job_answered job={job} answer={answer:?} waiters={}", waiters.len()));
                     waiters.into_iter().for_each(|waiter| self.reply(waiter, answer.clone()));
                 }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -8,7 +8,7 @@
 use vanillacleat_core::run_frames::RunStart;
 use vanillacleat_core::site_plan::RouteRule;
 
-use super::DispatchControl;
+use super::{DispatchAction, DispatchControl, Measurement};
 use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
 use crate::entry::open_job::OpenJob;
 use crate::entry::worker_registry::CapacityRequest;
@@ -84,9 +84,19 @@
         let Some(session) = self.worker_registry.get(agent).and_then(|worker| worker.session) else {
             return;
         };
+        let Some((arrived_at, priority, is_first)) = self.job_table.get(&task.job).map(|job| {
+            let is_first = !job.has_run && !job.has_sent_runs();
+            (job.arrived_at, job.route.priority, is_first)
+        }) else {
+            return;
+        };
         let Some(run) = self.job_table.mark_sent(task, agent) else {
             return;
         };
+        if is_first {
+            let measurement = Measurement::Placed { priority, after: self.now.since(arrived_at) };
+            self.actions.push(DispatchAction::Measured(measurement));
+        }
         self.worker_registry.reserve(self.now, agent, demand);
         let orders = self.pending_orders.entry(session).or_default();
         if orders.payloads.last() != Some(payload) {
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -28,6 +28,8 @@
     Answer {
         /// The job.
         job: CallerJobId,
+        /// When the job arrived at this entry, and the priority of its route.
+        arrival: (MonoTime, u32),
         /// Where the answer goes.
         waiters: Vec<ReplyId>,
         /// The answer.
@@ -117,9 +119,9 @@
 
     /// Refuses and removes a job of which no task has run.
     pub fn refuse(&mut self, id: &CallerJobId, reason: &'static str, retry_after: Duration) -> Vec<JobEffect> {
-        let waiters = self.take_waiters(id);
+        let (waiters, arrival) = (self.take_waiters(id), self.arrival(id));
         self.remove(id);
-        vec![JobEffect::Answer { job: *id, waiters, answer: CallerAnswer::Refused { reason, retry_after } }]
+        vec![JobEffect::Answer { job: *id, arrival, waiters, answer: CallerAnswer::Refused { reason, retry_after } }]
     }
 
     /// Returns the jobs with ready tasks in the order in which to place them.
@@ -217,14 +219,14 @@
 
     /// Ends a job in `phase`: answers its callers, keeps the phase for later queries and stops the remaining runs.
     fn end_job(&mut self, now: MonoTime, id: &CallerJobId, phase: JobPhase, answer: CallerAnswer) -> Vec<JobEffect> {
-        let waiters = self.take_waiters(id);
+        let (waiters, arrival) = (self.take_waiters(id), self.arrival(id));
         if let Some(job) = self.jobs.get_mut(id) {
             job.final_phase = Some(phase);
         }
         self.final_phases.insert(*id, phase);
         self.final_phase_order.push_back((now, *id));
         let mut effects = self.stop_job(id);
-        effects.push(JobEffect::Answer { job: *id, waiters, answer });
+        effects.push(JobEffect::Answer { job: *id, arrival, waiters, answer });
         effects
     }
 
@@ -252,17 +254,24 @@
         if self.jobs.get(id).is_none_or(OpenJob::has_sent_runs) {
             return Vec::new();
         }
-        let waiters = self.take_waiters(id);
+        let (waiters, arrival) = (self.take_waiters(id), self.arrival(id));
         self.remove(id);
         if waiters.is_empty() {
             return Vec::new();
         }
-        vec![JobEffect::Answer { job: *id, waiters, answer: CallerAnswer::Abandoned(ABANDONED_REASON) }]
+        vec![JobEffect::Answer { job: *id, arrival, waiters, answer: CallerAnswer::Abandoned(ABANDONED_REASON) }]
+    }
+
+    /// Returns when a job arrived and the priority of its route.
+    fn arrival(&self, id: &CallerJobId) -> (MonoTime, u32) {
+        self.jobs.get(id).map(|job| (job.arrived_at, job.route.priority)).unwrap_or_default()
     }
 
     fn take_waiters(&mut self, id: &CallerJobId) -> Vec<ReplyId> {
         let waiters = self.jobs.get_mut(id).map(|job| std::mem::take(&mut job.waiters)).unwrap_or_default();
-        self.waiters.retain(|waiter, _| !waiters.contains(waiter));
+        for waiter in &waiters {
+            self.waiters.remove(waiter);
+        }
         waiters
     }
 
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -16,7 +16,7 @@
 mod worker_registry;
 
 pub use caller_api::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
-pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions};
+pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, Measurement};
 pub use entry_load::EntryLoad;
 pub use job_order::{core_share, job_age, queue_wait, resubmit_delay, JobRank, JobTimes};
 pub use job_table::{JobEffect, JobTable};
--- a/crates/runs/tests/support/simulation.rs
+++ b/crates/runs/tests/support/simulation.rs
@@ -298,7 +298,7 @@
                 }
             }
             DispatchAction::Log(line) => self.log_lines.push(format!("{} entry-{entry} {line}", self.now)),
-            DispatchAction::Drained => {}
+            DispatchAction::Measured(_) | DispatchAction::Drained => {}
         }
     }
 
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use h2::{RecvStream, SendStream};
+use metrics::Counter;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -12,31 +13,44 @@
 use crate::errors::{closed_error, WireError};
 
 /// Sends frames on one stream, within the flow-control window that the peer grants.
-#[derive(Debug)]
 pub struct FrameSender<T> {
     stream: SendStream<Bytes>,
+    frames_sent: Counter,
+    bytes_sent: Counter,
     frame: PhantomData<fn(T)>,
 }
 
+impl<T> std::fmt::Debug for FrameSender<T> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("FrameSender").field("stream", &self.stream).finish_non_exhaustive()
+    }
+}
+
 impl<T: Serialize> FrameSender<T> {
     pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
-        Self { stream, frame: PhantomData }
+        let (frames_sent, bytes_sent) = (metrics::counter!("wire_frames_sent_total"), metrics::counter!("wire_bytes_sent_total"));
+        Self { stream, frames_sent, bytes_sent, frame: PhantomData }
     }
 
     /// Sends a frame. Returns once the whole frame is passed to the HTTP/2 connection, and fails if the stream is closed.
     pub async fn send(&mut self, frame: &T) -> Result<(), WireError> {
         let bytes = encode_frame(frame)?;
-        record_frame(bytes.len());
+        self.record_frame(bytes.len());
         self.send_bytes(bytes, false).await
     }
 
     /// Sends a frame and closes this direction of the stream.
     pub async fn send_last(&mut self, frame: &T) -> Result<(), WireError> {
         let bytes = encode_frame(frame)?;
-        record_frame(bytes.len());
+        self.record_frame(bytes.len());
         self.send_bytes(bytes, true).await
     }
 
+    fn record_frame(&self, bytes: usize) {
+        self.frames_sent.increment(1);
+        self.bytes_sent.increment(bytes as u64);
+    }
+
     async fn send_bytes(&mut self, mut bytes: Bytes, is_last: bool) -> Result<(), WireError> {
         while !bytes.is_empty() {
             self.stream.reserve_capacity(bytes.len());
@@ -50,11 +64,6 @@
     }
 }
 
-fn record_frame(bytes: usize) {
-    metrics::counter!("wire_frames_sent_total").increment(1);
-    metrics::counter!("wire_bytes_sent_total").increment(bytes as u64);
-}
-
 /// Receives frames from one stream.
 #[derive(Debug)]
 pub struct FrameReceiver<T> {
