--- a/crates/runs/tests/strained_entry.rs
+++ b/crates/runs/tests/strained_entry.rs
@@ -29,7 +29,7 @@
 mod support;
 use support::plans::{make_options, make_plan};
 
-const AGENTS: usize = 40;
+const AGENTS: usize = 52;
 /// The processor share of the entry's host, in microseconds a millisecond.
 const HOST_SHARE: f64 = 120.0;
 /// Processor time that the entry spends on a frame that it receives or sends, in microseconds.
@@ -41,9 +41,11 @@
 /// Delay of a frame on the network, in milliseconds.
 const TRANSIT_MS: u64 = 1;
 /// Requests a second before and after the burst.
-const USUAL_RATE: f64 = 120.0;
+const USUAL_RATE: f64 = 195.0;
 /// How long a caller waits for its answer, in milliseconds.
 const PATIENCE_MS: u64 = 1_900;
+/// Delay before a caller resubmits a job that was abandoned, in milliseconds.
+const RESUBMIT_MS: u64 = 1_300;
 const BURST_MS: std::ops::Range<u64> = 4_000..9_000;
 const DEMAND: ResourceAmount = ResourceAmount { millicores: 3_000, memory: Megabytes(64), accelerators: 0 };
 
@@ -67,7 +69,10 @@
 }
 
 /// A caller's open request.
+#[derive(Clone, Copy)]
 struct OpenRequest {
+    job: CallerJobId,
+    width: u16,
     submitted_at: u64,
     expires_at: u64,
 }
@@ -82,6 +87,8 @@
     credit: f64,
     agents: Vec<AgentSite>,
     requests: BTreeMap<ReplyId, OpenRequest>,
+    /// Requests that were interrupted, with the time at which their callers resubmit them.
+    resubmissions: VecDeque<(u64, OpenRequest)>,
     next_reply: u64,
     /// When each job that succeeded was submitted.
     succeeded: Vec<u64>,
@@ -124,6 +131,7 @@
             credit: 0.0,
             agents: agents.collect(),
             requests: BTreeMap::new(),
+            resubmissions: VecDeque::new(),
             next_reply: 0,
             succeeded: Vec::new(),
             submitted: Vec::new(),
@@ -152,7 +160,13 @@
     fn step(&mut self, rate: f64) {
         self.now += 1;
         if self.rng.random_bool(rate / 1_000.0) {
-            self.submit_job();
+            let (job, width) = (CallerJobId(self.submitted.len() as u64 + 1), self.rng.random_range(2..7));
+            self.submitted.push(self.now);
+            self.send_request(OpenRequest { job, width, submitted_at: self.now, expires_at: self.now + PATIENCE_MS });
+        }
+        while self.resubmissions.front().is_some_and(|(at, _)| *at <= self.now) {
+            let (_, request) = self.resubmissions.pop_front().expect("it is not empty");
+            self.send_request(request);
         }
         self.expire_requests();
         (0..AGENTS).for_each(|agent| self.step_agent(agent));
@@ -165,20 +179,18 @@
         }
     }
 
-    fn submit_job(&mut self) {
+    fn send_request(&mut self, open: OpenRequest) {
         self.next_reply += 1;
         let reply = ReplyId(self.next_reply);
-        let width = self.rng.random_range(2..7);
-        let step = JobStep { count: width, demand: DEMAND, estimate: Millis(200), ..JobStep::default() };
+        let step = JobStep { count: open.width, demand: DEMAND, estimate: Millis(200), ..JobStep::default() };
         let draft = JobDraft { payload: SmolStr::new_static("text"), steps: vec![step], ..JobDraft::default() };
         let request = CallerRequest {
             host: SmolStr::new_static("desk.example"),
-            path: SmolStr::new(format!("/bids/{}", CallerJobId(self.next_reply))),
-            caller_timeout: Some(Duration::from_millis(PATIENCE_MS)),
+            path: SmolStr::new(format!("/bids/{}", open.job)),
+            caller_timeout: Some(Duration::from_millis(open.expires_at - self.now)),
             kind: RequestKind::Submit(draft),
         };
-        self.requests.insert(reply, OpenRequest { submitted_at: self.now, expires_at: self.now + PATIENCE_MS });
-        self.submitted.push(self.now);
+        self.requests.insert(reply, open);
         self.inbox.push_back((self.now, DispatchEvent::Requested { reply, request }));
     }
 
@@ -218,8 +230,12 @@
 
     fn record_answer(&mut self, reply: ReplyId, answer: &CallerAnswer) {
         if let Some(request) = self.requests.remove(&reply) {
-            if *answer == CallerAnswer::Ended(JobPhase::Succeeded) {
-                self.succeeded.push(request.submitted_at);
+            match answer {
+                CallerAnswer::Ended(JobPhase::Succeeded) => self.succeeded.push(request.submitted_at),
+                CallerAnswer::Abandoned(_) if request.expires_at > self.now + RESUBMIT_MS => {
+                    self.resubmissions.push_back((self.now + RESUBMIT_MS, request));
+                }
+                _ => {}
             }
         }
     }
