An entry that resumes from a pause admits the requests that waited

What waited during the pause was taken as a sign of too much work.

Change: the lag of the first step after a stall, and delayed reports within 300 ms after it, don't count.

--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -26,6 +26,8 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(10);
 /// Gap between two events above which this process counts as having been stalled. Ticks normally arrive much more often.
 const STALL_THRESHOLD: Duration = Duration::from_millis(300);
+/// Time after a stall within which the events that have waited are handled.
+const RESUME_GRACE: Duration = Duration::from_millis(300);
 /// Delay between the end of the last job and the end of a drain, so that the last answers reach their callers.
 const FLUSH_DELAY: Duration = Duration::from_millis(150);
 /// Maximum time that an agent without a session stays in the registry.
@@ -188,10 +190,12 @@
     pub fn handle_batch(&mut self, now: MonoTime, lag: Duration, events: Vec<DispatchEvent>) -> Vec<DispatchAction> {
         if now.since(self.now) > STALL_THRESHOLD {
             // This process was stalled and received nothing meanwhile. Missing reports don't mean that the agents were silent.
+            // For the same reason, what has waited meanwhile doesn't show that the process has too much to do.
             self.resumed_at = now;
+        } else {
+            self.load.record_lag(now, lag);
         }
         self.now = self.now.max(now);
-        self.load.record_lag(self.now, lag);
         let (mut requests, others): (Vec<_>, Vec<_>) =
             events.into_iter().partition(|event| matches!(event, DispatchEvent::Requested { .. }));
         // A caller may have disconnected since it sent its request.
@@ -231,6 +235,13 @@
         }
     }
 
+    /// Records how many reports are late. Reports that waited while this process was stalled don't count.
+    fn record_delayed_reports(&mut self) {
+        let has_settled = self.now.since(self.resumed_at) >= RESUME_GRACE;
+        let share = if has_settled { self.worker_registry.delayed_share(self.load.lag_max()) } else { 0.0 };
+        self.load.record_delayed_share(share);
+    }
+
     /// Notices whether the entry is behind, and logs each change.
     fn update_load(&mut self) {
         let (is_strained, has_changed) = self.load.update(self.now);
@@ -313,7 +324,7 @@
     fn run_maintenance(&mut self) {
         self.close_silent_sessions();
         self.record_slow_workers();
-        self.load.record_delayed_share(self.worker_registry.delayed_share(self.load.lag_max()));
+        self.record_delayed_reports();
         self.expire_agents();
         self.expire_late_jobs();
         self.job_table.evict_final_phases(self.now);
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -240,3 +240,44 @@
     run_ticks(&mut entry, 970, 990);
     assert_eq!(sent_runs(&entry), 0);
 }
+
+/// Delivers a request to the entry in one batch with the events that waited for `lag`; returns whether it was admitted.
+fn is_admitted(entry: &mut DispatchControl, at: u64, lag: u64, job: u64) -> bool {
+    let request = support::callers::CallerState::new(job, 2, 100).request();
+    let event = DispatchEvent::Requested { reply: vanillacleat_control::ReplyId(job), request };
+    let actions = entry.handle_batch(MonoTime::from_millis(at), Duration::from_millis(lag), vec![event]);
+    !actions.iter().any(|action| matches!(action, DispatchAction::Reply { .. }))
+}
+
+#[test]
+fn entry_that_is_behind_refuses_at_once_until_it_has_caught_up() {
+    let mut entry = make_entry();
+    run_ticks(&mut entry, 20, 100);
+    assert!(is_admitted(&mut entry, 105, 90, 1));
+    assert!(!is_admitted(&mut entry, 110, 150, 2), "events wait for more than a quarter of the session lease");
+    run_ticks(&mut entry, 120, 200);
+    assert!(is_admitted(&mut entry, 205, 0, 3));
+}
+
+#[test]
+fn entry_that_was_paused_admits_what_has_waited() {
+    let mut entry = make_entry();
+    run_ticks(&mut entry, 20, 100);
+    assert!(is_admitted(&mut entry, 1_600, 1_490, 1), "it was paused, and has not too much to do");
+}
+
+#[test]
+fn late_reports_of_most_agents_show_that_the_entry_is_behind() {
+    let mut entry = make_entry();
+    for at in (20..=500).step_by(10) {
+        entry.handle(MonoTime::from_millis(at), DispatchEvent::Tick);
+    }
+    // The report was sent 150 ms before, while the first one took no time.
+    let report = RunReport { sent_at: Millis(360), needs_answer: true, ..RunReport::default() };
+    entry.handle(MonoTime::from_millis(510), DispatchEvent::Frame { session: SESSION, frame: RunFrame::Report(report) });
+    run_ticks(&mut entry, 520, 530);
+    assert!(!is_admitted(&mut entry, 535, 0, 1));
+    deliver_report(&mut entry, 540);
+    run_ticks(&mut entry, 550, 560);
+    assert!(is_admitted(&mut entry, 565, 0, 2));
+}
