--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -55,23 +55,32 @@
 /// are ordered by time and show the time since the first line that contains `id`. Returns nothing if no line contains it.
 pub fn build_timeline(id: &str, mut lines: Vec<LogLine>) -> Vec<String> {
     lines.sort_by_key(|line| line.unix_ms);
-    let has_id = |line: &&LogLine| line.text.contains(id);
+    let has_id = |line: &&LogLine| contains_id(&line.text, id);
     let (first, last) = (lines.iter().find(has_id), lines.iter().rev().find(has_id));
     let (Some(first), Some(last)) = (first, last) else {
         return Vec::new();
     };
     let span = first.unix_ms.saturating_sub(CONTEXT_BEFORE_MS)..=last.unix_ms;
-    let shown = lines.iter().filter(|line| line.text.contains(id) || (line.is_context() && span.contains(&line.unix_ms)));
+    let shown = lines.iter().filter(|line| contains_id(&line.text, id) || (line.is_context() && span.contains(&line.unix_ms)));
     let start_ms = first.unix_ms as i64;
     shown
         .map(|line| {
-            let marker = if line.text.contains(id) { '*' } else { '.' };
+            let marker = if contains_id(&line.text, id) { '*' } else { '.' };
             let event = line.text.find("event=").map_or(line.text.as_str(), |at| &line.text[at..]);
             format!("{marker} {:>7} ms {} {event}", line.unix_ms as i64 - start_ms, line.source)
         })
         .collect()
 }
 
+/// Returns whether `text` contains `id` as a whole word, and not as a part of a longer id.
+fn contains_id(text: &str, id: &str) -> bool {
+    let is_part = |character: Option<char>| character.is_some_and(|character| character.is_ascii_alphanumeric() || character == '-');
+    text.match_indices(id).any(|(at, _)| {
+        let (before, after) = (text[..at].chars().next_back(), text[at + id.len()..].chars().next());
+        !is_part(before) && !is_part(after)
+    })
+}
+
 /// Prints the timeline of the request `id` from the log files, or from standard input if there are none.
 pub fn explain(id: &str, files: &[PathBuf]) -> CommandResult {
     let mut lines = Vec::new();
--- a/crates/cli/tests/request_timeline.rs
+++ b/crates/cli/tests/request_timeline.rs
@@ -38,3 +38,25 @@
 fn timeline_of_unknown_request_is_empty() {
     assert!(build_timeline("ff", lines("entry-1", &["unix_ms=1 event=job_admitted job=ab"])).is_empty());
 }
+
+#[test]
+fn timeline_leaves_out_longer_ids() {
+    let logs = lines(
+        "entry-1",
+        &["unix_ms=1 event=job_admitted job=00ab", "unix_ms=2 event=job_admitted job=00abc", "unix_ms=3 event=x job=100ab"],
+    );
+    assert_eq!(build_timeline("00ab", logs), ["*       0 ms entry-1 event=job_admitted job=00ab"]);
+}
+
+#[test]
+fn timeline_shows_dropped_lines() {
+    let logs = lines(
+        "entry-1",
+        &[
+            "unix_ms=1 level=info event=job_admitted job=ab",
+            "unix_ms=2 level=warn event=log_lines_dropped count=7",
+            "unix_ms=3 level=info event=job_answered job=ab",
+        ],
+    );
+    assert_eq!(build_timeline("ab", logs)[1], ".       1 ms entry-1 event=log_lines_dropped count=7");
+}
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -10,8 +10,8 @@
 use super::{RunnerAction, RunnerControl};
 use crate::agent::session_lease::SessionLease;
 
-/// Interval between two reports that need an answer, on a session whose entry has runs here. It is about a third of the session's lease, so that
-/// renewals overlap.
+/// Interval between two reports that need an answer, on a session whose entry has runs here. It is about a third of the
+/// session's lease, so that renewals overlap.
 const REPORT_INTERVAL: Duration = Duration::from_millis(120);
 /// The same on a session whose entry has no run here. The answer shows that the entry is still reachable.
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -169,7 +169,8 @@
             // An entry that is selected again while its session is still open must not be dialed.
             self.selection.dialer.record_connected(&lease.address);
             let is_idle = lease.ends.is_empty() && !self.runs.iter().any(|(_, record)| record.owner == Some(*session));
-            // The answer to the report that the agent is closed follows all starts that the entry sent before it.
+            // The entry has answered the report that the agent is closed. A start that it sent before is usually here by now;
+            // the run of one that is not is placed again once the lease of the session has ended.
             if lease.is_retiring && lease.reported_closed && lease.is_answered() && is_idle {
                 retired.push(*session);
             }
