--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -81,8 +81,12 @@
     mut step: impl FnMut(MonoTime, E) -> ControlStep + Send + 'static,
 ) -> std::io::Result<(EventSender<E>, JoinHandle<()>)> {
     let step_batch = move |now, batch: EventBatch<E>| {
-        let outcomes = batch.events.into_iter().map(|event| step(now, event));
-        outcomes.fold(ControlStep::Continue, |outcome, next| if outcome == ControlStep::Stop { outcome } else { next })
+        let is_stopped = batch.events.into_iter().any(|event| step(now, event) == ControlStep::Stop);
+        if is_stopped {
+            ControlStep::Stop
+        } else {
+            ControlStep::Continue
+        }
     };
     spawn_batch_thread(name, pause, tick, step_batch)
 }
