Log on what evidence a run counts as ended, and what each start rests on

Cause: tasks ran twice at once, and the logs don't show which process believed that the first run had ended, why, or how old its information was.

Change: an end of a run carries its evidence (an enum, the age of the last list or contact, the lease left) from the agent to the entry. run_ended, run_back, worker_lost and worker_silent show it. run_sent shows the age of the agent's last report, the start of the lease, whether the agent was idle and, for a task that is placed again, how the former run ended. New lines: run_started, start_repeated, stop_sent (runs of a lost session or lapsed lease), agent_expired, and run_back with stale=true for ends that the entry no longer expects. worker_found tells whether the same incarnation is back. No decision changes.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -1,5 +1,7 @@
 //! Frames for leased runs. An agent opens a session with a [`RunFrame::Hello`].
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -96,6 +98,91 @@
     pub outcome: RunOutcome,
     /// Time from the start call to the end of the run.
     pub ran: Millis,
+    /// Why the run counts as ended.
+    pub evidence: EndEvidence,
+}
+
+/// Why a run counts as ended, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndEvidence {
+    /// What showed the end.
+    pub sign: EndSign,
+    /// Maximum age of the last list of runs that the worker returned; at an entry, age of the agent's last contact. Absent
+    /// if there was none.
+    pub age: Option<Millis>,
+    /// Time until the lease under which the run may be running ends, as reckoned by the process that records the end. Zero
+    /// if it has ended.
+    pub lease_left: Millis,
+}
+
+impl fmt::Display for EndEvidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "evidence={} evidence_age_ms=", self.sign.as_str())?;
+        match self.age {
+            Some(age) => write!(f, "{age}")?,
+            None => f.write_str("none")?,
+        }
+        write!(f, " lease_left_ms={}", self.lease_left)
+    }
+}
+
+/// What showed that a run has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum EndSign {
+    /// The start call was never sent to the worker.
+    #[default]
+    NeverSent,
+    /// The worker rejected the only start call.
+    Rejected,
+    /// The worker listed the run as ended.
+    Listed,
+    /// The worker had confirmed the run, and a list that was requested later does not contain it.
+    Unlisted,
+    /// The worker accepted a stop, and a list that was requested later does not contain the run.
+    StopConfirmed,
+    /// The worker rejected a start as outdated, and a list that was requested later does not contain the run.
+    OutdatedUnlisted,
+    /// The incarnation that ran it has ended: the worker deregistered.
+    Deregistered,
+    /// The incarnation that ran it has ended: a worker at its address rejected a call as meant for another incarnation.
+    Misdirected,
+    /// The incarnation that ran it has ended: another one sent a heartbeat.
+    OtherHeartbeat,
+    /// The incarnation that ran it has ended: a later one returned a list.
+    LaterList,
+    /// The worker answered no polls until its lease must have ended.
+    WorkerSilent,
+    /// The agent exited at the end of its drain timeout.
+    Drained,
+    /// At an entry: a new incarnation of the agent opened a session.
+    AgentRestarted,
+    /// At an entry: the agent opened a session and did not name the run as unsettled.
+    NotUnsettled,
+    /// At an entry: the agent was silent for the loss timeout.
+    AgentExpired,
+}
+
+impl EndSign {
+    /// Returns the name that is used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NeverSent => "never_sent",
+            Self::Rejected => "rejected",
+            Self::Listed => "listed",
+            Self::Unlisted => "unlisted",
+            Self::StopConfirmed => "stop_confirmed",
+            Self::OutdatedUnlisted => "outdated_unlisted",
+            Self::Deregistered => "deregistered",
+            Self::Misdirected => "misdirected",
+            Self::OtherHeartbeat => "other_heartbeat",
+            Self::LaterList => "later_list",
+            Self::WorkerSilent => "worker_silent",
+            Self::Drained => "drained",
+            Self::AgentRestarted => "agent_restarted",
+            Self::NotUnsettled => "not_unsettled",
+            Self::AgentExpired => "agent_expired",
+        }
+    }
 }
 
 /// How a run ended.
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -43,6 +43,37 @@
     },
 }
 
+/// Why a run is to be stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopCause {
+    /// Its entry ordered the stop.
+    Ordered,
+    /// The session with its entry was lost.
+    EntryLost,
+    /// The lease of the session with its entry ended.
+    LeaseLapsed,
+    /// Its start was not answered, or not with a definite result.
+    Unanswered,
+    /// The worker rejected its start as outdated.
+    Outdated,
+    /// The worker's incarnation ended, and the run may have started in the next one.
+    IncarnationEnded,
+}
+
+impl StopCause {
+    /// Returns the name that is used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ordered => "ordered",
+            Self::EntryLost => "entry_lost",
+            Self::LeaseLapsed => "lease_lapsed",
+            Self::Unanswered => "unanswered",
+            Self::Outdated => "outdated",
+            Self::IncarnationEnded => "incarnation_ended",
+        }
+    }
+}
+
 /// One run and its state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
@@ -58,11 +89,17 @@
     pub state: RunState,
     /// When the order was received.
     pub ordered_at: MonoTime,
+    /// The time from which the order leased its session. The entry sent the order later.
+    pub leased_from: MonoTime,
     /// When the start call was first sent. Once the worker has answered it, when the answer was received.
     pub started_at: MonoTime,
     /// When the agent first received an answer or a list that shows the run as running. Lease polls sent earlier may
     /// return a list without it.
     pub confirmed_at: Option<MonoTime>,
+    /// Why the run is to be stopped; absent until then.
+    pub stop_cause: Option<StopCause>,
+    /// How often the stop call was sent.
+    pub stop_calls: u32,
 }
 
 /// The runs ordered at one worker. A run occupies capacity at the worker from its start call until its end is known.
@@ -177,14 +214,16 @@
 }
 
 impl RunRecord {
-    /// Marks the run to be stopped, `is_unanswered` if its start is abandoned. Returns true and changes nothing if the
-    /// run is queued: it was never sent to the worker and can be removed at once.
-    pub fn request_stop(&mut self, now: MonoTime, is_unanswered: bool) -> bool {
+    /// Marks the run to be stopped. Returns true and changes nothing if the run is queued: it was never sent to the worker
+    /// and can be removed at once.
+    pub fn request_stop(&mut self, now: MonoTime, cause: StopCause) -> bool {
         match self.state {
             RunState::Queued => return true,
             RunState::Stopping { .. } => {}
             RunState::Starting { .. } | RunState::Running { .. } => {
+                let is_unanswered = cause == StopCause::Unanswered;
                 self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered };
+                self.stop_cause = Some(cause);
             }
         }
         false
@@ -209,12 +248,14 @@
     /// have started in either of them.
     pub fn request_stop_again(&mut self, now: MonoTime) {
         self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered: false };
+        self.stop_cause = Some(StopCause::IncarnationEnded);
     }
 
     /// Records that the worker can't start the run from now on, but may have started it before. The next lease polls
     /// show whether it is running, how it ended, or that it never started.
     pub fn await_run_list(&mut self, now: MonoTime) {
         self.state = RunState::Stopping { call_at: now, taken_at: Some(now), is_unanswered: true };
+        self.stop_cause = Some(StopCause::Outdated);
     }
 
     /// Returns the time since [`Self::started_at`].
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunOutcome};
+use vanillacleat_core::run_frames::{EndSign, EntryRecord, OrderFrame, RunFrame, RunOutcome};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
 
@@ -124,6 +124,34 @@
     Drained,
 }
 
+/// The sign from which an agent concludes that the worker's incarnation has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct IncarnationEnd {
+    /// Short form of the cause in logs.
+    cause: &'static str,
+    /// What arrived, in logs.
+    sign: &'static str,
+    /// The evidence for the ends of the incarnation's runs.
+    evidence: EndSign,
+}
+
+impl IncarnationEnd {
+    const HEARTBEAT: Self = Self { cause: "reborn", sign: "heartbeat", evidence: EndSign::OtherHeartbeat };
+    const LATER_LIST: Self = Self { cause: "reborn", sign: "list", evidence: EndSign::LaterList };
+    const DEREGISTRATION: Self = Self { cause: "left", sign: "deregistration", evidence: EndSign::Deregistered };
+    const POLL_MISDIRECTED: Self = Self { cause: "other_life", sign: "poll_reply", evidence: EndSign::Misdirected };
+    const START_MISDIRECTED: Self = Self { cause: "other_life", sign: "start_reply", evidence: EndSign::Misdirected };
+    const STOP_MISDIRECTED: Self = Self { cause: "other_life", sign: "stop_reply", evidence: EndSign::Misdirected };
+}
+
+/// The worker's incarnation that counts as ended, for the log.
+#[derive(Clone, Debug)]
+struct LostIncarnation {
+    worker: SmolStr,
+    born: u64,
+    lost_at: MonoTime,
+}
+
 /// The complete control state of one agent. Handles events and returns the actions to execute.
 #[derive(Debug)]
 pub struct RunnerControl {
@@ -131,6 +159,8 @@
     options: RunnerOptions,
     fencing_token: u64,
     incarnation: Option<WorkerIncarnation>,
+    /// The last incarnation that counts as ended.
+    lost_incarnation: Option<LostIncarnation>,
     /// Changes with each incarnation that begins or ends, so that replies to calls of an earlier one are ignored.
     incarnation_number: u64,
     runs: RunTable,
@@ -153,6 +183,7 @@
             now: MonoTime::ZERO,
             fencing_token: options.fencing_token,
             incarnation: None,
+            lost_incarnation: None,
             incarnation_number: 0,
             runs: RunTable::default(),
             sessions: BTreeMap::new(),
@@ -234,45 +265,60 @@
     }
 
     fn begin_incarnation(&mut self, notice: WorkerNotice) {
-        self.end_incarnation("reborn");
+        self.end_incarnation(IncarnationEnd::HEARTBEAT);
         // The higher token makes the new incarnation reject calls to an earlier one of the same name that are still in
         // transit.
         self.fencing_token += 1;
-        self.log(format!("event=worker_found worker={} born={} ready={}", notice.worker, notice.born, notice.is_ready));
+        self.log_worker_found(&notice);
         self.incarnation_number += 1;
         self.incarnation = Some(WorkerIncarnation::new(notice));
         self.polls = lease_polls::PollState::default();
     }
 
+    fn log_worker_found(&mut self, notice: &WorkerNotice) {
+        let WorkerNotice { worker, born, is_ready, sequence, .. } = notice;
+        let lost = self.lost_incarnation.as_ref();
+        let is_same = lost.is_some_and(|lost| lost.worker == *worker && lost.born == *born);
+        let lost_ms = lost.map_or_else(|| "none".to_owned(), |lost| self.now.since(lost.lost_at).as_millis().to_string());
+        self.log(format!(
+            "event=worker_found worker={worker} born={born} ready={is_ready} heartbeat={sequence} same={is_same} lost_ms={lost_ms}"
+        ));
+    }
+
     /// Removes the worker's incarnation. Ends the queued runs and the runs that the incarnation had listed, which have
     /// ended with it. Marks the other runs to be stopped at the next incarnation.
-    fn end_incarnation(&mut self, cause: &str) {
+    fn end_incarnation(&mut self, end: IncarnationEnd) {
         let Some(incarnation) = self.incarnation.take() else {
             return;
         };
+        let WorkerNotice { worker, born, .. } = incarnation.notice;
+        let lost = self.runs.select(RunRecord::ends_with_incarnation);
+        let evidence = self.evidence(end.evidence);
         self.log(format!(
-            "event=worker_lost worker={} born={} cause={cause} runs={}",
-            incarnation.notice.worker,
-            incarnation.notice.born,
-            self.runs.len()
+            "event=worker_lost worker={worker} born={born} cause={} runs={} sign={} ended={} answer_age_ms={} {evidence}",
+            end.cause,
+            self.runs.len(),
+            end.sign,
+            lost.len(),
+            self.now.since(self.worker_answered_at).as_millis(),
         ));
+        self.lost_incarnation = Some(LostIncarnation { worker, born, lost_at: self.now });
         self.incarnation_number += 1;
-        let lost = self.runs.select(RunRecord::ends_with_incarnation);
-        lost.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost));
+        lost.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost, end.evidence));
         // A start in transit may have reached the next incarnation of the same name, which therefore has to stop the
         // run.
         let now = self.now;
         self.runs.iter_mut().for_each(|(_, record)| record.request_stop_again(now));
     }
 
-    fn finish_all_runs(&mut self, outcome: RunOutcome) {
+    fn finish_all_runs(&mut self, outcome: RunOutcome, sign: EndSign) {
         let runs = self.runs.select(|_| true);
-        runs.into_iter().for_each(|run| self.finish_run(&run, outcome));
+        runs.into_iter().for_each(|run| self.finish_run(&run, outcome, sign));
     }
 
     fn handle_deregistration(&mut self, worker: &SmolStr) {
         if self.incarnation.as_ref().is_some_and(|incarnation| incarnation.notice.worker == *worker) {
-            self.end_incarnation("left");
+            self.end_incarnation(IncarnationEnd::DEREGISTRATION);
         }
     }
 
@@ -324,7 +370,7 @@
         self.drain_started_at = Some(self.now);
         self.log(format!("event=drain_started runs={}", self.runs.len()));
         let queued = self.runs.select(|record| record.state == RunState::Queued);
-        queued.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Closed));
+        queued.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Closed, EndSign::NeverSent));
     }
 
     fn finish_drain(&mut self) {
@@ -334,7 +380,7 @@
         let has_timed_out = self.now.since(started_at) >= self.options.drain_timeout;
         if self.runs.is_empty() || has_timed_out {
             let runs_left = self.runs.len();
-            self.finish_all_runs(RunOutcome::Lost);
+            self.finish_all_runs(RunOutcome::Lost, EndSign::Drained);
             self.send_reports();
             self.log(format!("event=drained runs_left={runs_left}"));
             self.actions.push(RunnerAction::Drained);
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use vanillacleat_core::caller_job::RunId;
-use vanillacleat_core::run_frames::RunOutcome;
-use vanillacleat_core::units::MonoTime;
+use vanillacleat_core::run_frames::{EndEvidence, EndSign, RunOutcome};
+use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::RunnerControl;
+use super::{IncarnationEnd, RunnerControl};
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
-use crate::agent::run_table::RunState;
+use crate::agent::run_table::{RunState, StopCause};
 
 /// Maximum time that the worker delays its reply to a poll until a run ends. A quarter of the maximum worker lease, so
 /// that the lease is renewed several times before it would end.
@@ -44,6 +44,8 @@
     pub lease_extended_at: MonoTime,
     /// Number of consecutive polls that were not answered.
     pub failures: u32,
+    /// When the poll was sent that returned the last list of runs.
+    pub list_sent_at: Option<MonoTime>,
 }
 
 /// A lease poll without a reply.
@@ -99,11 +101,12 @@
         if self.polls.failures == 0 || !self.runs.has_runs_at_worker() || self.now.since(self.polls.lease_extended_at) < lapse_timeout {
             return;
         }
-        self.log(format!("event=worker_silent failures={} runs={}", self.polls.failures, self.runs.len()));
+        let evidence = self.evidence(EndSign::WorkerSilent);
+        self.log(format!("event=worker_silent failures={} runs={} {evidence}", self.polls.failures, self.runs.len()));
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.is_settled = false;
         }
-        self.finish_all_runs(RunOutcome::Lost);
+        self.finish_all_runs(RunOutcome::Lost, EndSign::WorkerSilent);
     }
 
     pub(super) fn handle_poll_reply(&mut self, number: u64, reply: LeasePollReply) {
@@ -113,7 +116,7 @@
         match reply {
             LeasePollReply::Runs(list) => self.handle_run_list(sent_at, &list),
             LeasePollReply::Fenced => self.raise_fencing_token(),
-            LeasePollReply::OtherIncarnation => self.end_incarnation("other_life"),
+            LeasePollReply::OtherIncarnation => self.end_incarnation(IncarnationEnd::POLL_MISDIRECTED),
             LeasePollReply::Unanswered => {
                 self.polls.failures += 1;
                 self.polls.due_at = self.now + POLL_RETRY_DELAY;
@@ -128,14 +131,15 @@
             return;
         };
         if list.born > incarnation.notice.born {
-            return self.end_incarnation("reborn");
+            return self.end_incarnation(IncarnationEnd::LATER_LIST);
         }
+        self.polls.list_sent_at = Some(sent_at);
         incarnation.acknowledged = incarnation.observed;
         let new_ends: Vec<_> = list.ended.iter().filter(|end| end.number > incarnation.observed).copied().collect();
         incarnation.observed = new_ends.iter().map(|end| end.number).fold(incarnation.observed, u64::max);
         for end in new_ends {
             if let Some(run) = end.run {
-                self.finish_run(&run, end.outcome);
+                self.finish_run(&run, end.outcome, EndSign::Listed);
             }
         }
         self.handle_running(sent_at, list);
@@ -177,21 +181,31 @@
         let is_listed = |run: &RunId| list.running.iter().any(|task| task.run == *run);
         let mut unlisted = Vec::new();
         for (run, record) in self.runs.iter() {
-            let outcome = match record.state {
-                RunState::Running { .. } if record.confirmed_at.is_some_and(|at| at < sent_at) => RunOutcome::Lost,
+            let (outcome, sign) = match record.state {
+                RunState::Running { .. } if record.confirmed_at.is_some_and(|at| at < sent_at) => (RunOutcome::Lost, EndSign::Unlisted),
                 RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
-                    if is_unanswered {
-                        RunOutcome::Unanswered
-                    } else {
-                        RunOutcome::Stopped
-                    }
+                    let is_outdated = record.stop_cause == Some(StopCause::Outdated);
+                    let sign = if is_outdated { EndSign::OutdatedUnlisted } else { EndSign::StopConfirmed };
+                    (if is_unanswered { RunOutcome::Unanswered } else { RunOutcome::Stopped }, sign)
                 }
                 _ => continue,
             };
             if !is_listed(run) {
-                unlisted.push((*run, outcome));
+                unlisted.push((*run, outcome, sign));
             }
         }
-        unlisted.into_iter().for_each(|(run, outcome)| self.finish_run(&run, outcome));
+        unlisted.into_iter().for_each(|(run, outcome, sign)| self.finish_run(&run, outcome, sign));
+    }
+
+    /// Returns the evidence for an end that is recorded now.
+    pub(super) fn evidence(&self, sign: EndSign) -> EndEvidence {
+        let age = self.polls.list_sent_at.map(|at| Millis::from_duration(self.now.since(at)));
+        EndEvidence { sign, age, lease_left: Millis::from_duration(self.worker_lease_left()) }
+    }
+
+    /// Returns the maximum time until the worker's lease ends, if the worker received the last call that extends it.
+    pub(super) fn worker_lease_left(&self) -> Duration {
+        let lease = self.options.lease_terms.worker_lease;
+        (lease + lease / 20).saturating_sub(self.now.since(self.polls.lease_extended_at))
     }
 }
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -4,14 +4,14 @@
 
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
-use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{EndSign, OrderFrame, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::lease_polls::LOSSY_INTERVAL;
-use super::{RunnerAction, RunnerControl};
+use super::{IncarnationEnd, RunnerAction, RunnerControl};
 use crate::agent::calls::{StartRejection, StartReply, StopReply, WorkerCall};
-use crate::agent::run_table::{RunRecord, RunState};
+use crate::agent::run_table::{RunRecord, RunState, StopCause};
 
 /// Time without an answer after which a start counts as overdue. A worker on the same host usually answers in about a
 /// millisecond.
@@ -28,6 +28,7 @@
     pub(super) fn handle_frame(&mut self, session: SessionId, frame: OrderFrame) {
         if let Some(lease) = self.sessions.get_mut(&session) {
             lease.record_received();
+            lease.received_at = Some(self.now);
         }
         match frame {
             OrderFrame::Orders(orders) => self.handle_orders(session, orders),
@@ -53,15 +54,15 @@
             return;
         };
         lease.renew(self.now, orders.leased_from, duration);
-        let RunOrders { payloads, starts, stops, .. } = orders;
+        let RunOrders { payloads, starts, stops, leased_from } = orders;
         for start in starts {
             let payload = payloads.get(usize::from(start.payload)).cloned().unwrap_or_default();
-            self.handle_start(session, start, payload);
+            self.handle_start(session, start, payload, MonoTime::from_millis(leased_from.0));
         }
-        stops.iter().for_each(|run| self.stop_run(run));
+        stops.iter().for_each(|run| self.stop_run(run, StopCause::Ordered));
     }
 
-    fn handle_start(&mut self, session: SessionId, start: RunStart, payload: smol_str::SmolStr) {
+    fn handle_start(&mut self, session: SessionId, start: RunStart, payload: smol_str::SmolStr, leased_from: MonoTime) {
         let Some(lease) = self.sessions.get(&session) else {
             return;
         };
@@ -73,11 +74,14 @@
             payload,
             state: RunState::Queued,
             ordered_at: self.now,
+            leased_from,
             started_at: self.now,
             confirmed_at: None,
+            stop_cause: None,
+            stop_calls: 0,
         };
         if self.runs.add(start.run, record) && !may_start {
-            self.finish_run(&start.run, RunOutcome::Closed);
+            self.finish_run(&start.run, RunOutcome::Closed, EndSign::NeverSent);
         }
     }
 
@@ -121,11 +125,11 @@
             return;
         };
         if !accepts_starts {
-            return self.finish_run(run, RunOutcome::Closed);
+            return self.finish_run(run, RunOutcome::Closed, EndSign::NeverSent);
         }
         if !record.demand.fits(&free_capacity) {
             if now.since(record.ordered_at) >= QUEUE_WAIT_MAX {
-                self.finish_run(run, RunOutcome::NoRoom);
+                self.finish_run(run, RunOutcome::NoRoom, EndSign::NeverSent);
             }
             return;
         }
@@ -133,9 +137,31 @@
         record.started_at = now;
         let payload = record.payload.clone();
         self.polls.lease_extended_at = now;
+        self.log_start_call("run_started", run, lease_end);
         self.call_worker(WorkerCall::Start { run: *run, payload, lease_end });
     }
 
+    /// Logs a start call with the ages of what it rests on. `lease_end` is on the worker's clock, in milliseconds.
+    fn log_start_call(&mut self, event: &str, run: &RunId, lease_end: u64) {
+        let now = self.now;
+        let Some(record) = self.runs.get(run) else {
+            return;
+        };
+        let calls = if let RunState::Starting { tries, .. } = record.state { tries } else { 0 };
+        let session_left = record.owner.and_then(|owner| self.sessions.get(&owner)).map_or(Duration::ZERO, |lease| lease.time_left(now));
+        let clock_age = self.incarnation.as_ref().and_then(|incarnation| incarnation.clock.reading_age(now));
+        let line = format!(
+            "event={event} run={run} entry={} calls={calls} order_age_ms={} queued_ms={} session_left_ms={} lease_end={lease_end} \
+             clock_age_ms={}",
+            record.entry,
+            now.since(record.leased_from).as_millis(),
+            now.since(record.ordered_at).as_millis(),
+            session_left.as_millis(),
+            clock_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
+        );
+        self.log(line);
+    }
+
     /// Sends unanswered starts again. A repeated start does not make the worker run the same run twice. After
     /// [`START_TRIES_MAX`] calls the start is abandoned and the run is stopped.
     pub(super) fn retry_starts(&mut self) {
@@ -149,7 +175,7 @@
                 continue;
             }
             if *tries >= START_TRIES_MAX {
-                record.request_stop(now, true);
+                record.request_stop(now, StopCause::Unanswered);
                 continue;
             }
             (*tries, *retry_at) = (*tries + 1, now + RETRY_INTERVAL);
@@ -160,6 +186,7 @@
                 self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(now, self.options.lease_terms.worker_lease));
             self.polls.lease_extended_at = now;
             self.polls.lossy_until = now + LOSSY_INTERVAL;
+            self.log_start_call("start_repeated", &run, lease_end);
             self.call_worker(WorkerCall::Start { run, payload, lease_end });
         }
     }
@@ -179,8 +206,8 @@
                 self.record_clock(clock);
                 self.handle_rejection(&run, rejection);
             }
-            StartReply::Shed if self.is_first_start_call(&run) => self.finish_run(&run, RunOutcome::Shed),
-            StartReply::OtherIncarnation => self.end_incarnation("other_life"),
+            StartReply::Shed if self.is_first_start_call(&run) => self.finish_run(&run, RunOutcome::Shed, EndSign::Rejected),
+            StartReply::OtherIncarnation => self.end_incarnation(IncarnationEnd::START_MISDIRECTED),
             // The start is sent again or abandoned by `retry_starts`.
             StartReply::Shed | StartReply::Unanswered => {}
         }
@@ -199,16 +226,18 @@
             None => {}
             // An earlier call may have started the run. Only the worker's lists show what became of it.
             Some(record) if rejection == StartRejection::Outdated => record.await_run_list(now),
-            Some(record) if !matches!(record.state, RunState::Starting { tries: 1, .. }) => drop(record.request_stop(now, true)),
-            Some(_) => self.finish_run(run, rejection_outcome(rejection)),
+            Some(record) if !matches!(record.state, RunState::Starting { tries: 1, .. }) => {
+                record.request_stop(now, StopCause::Unanswered);
+            }
+            Some(_) => self.finish_run(run, rejection_outcome(rejection), EndSign::Rejected),
         }
     }
 
-    pub(super) fn stop_run(&mut self, run: &RunId) {
+    pub(super) fn stop_run(&mut self, run: &RunId, cause: StopCause) {
         let now = self.now;
-        let is_queued = self.runs.get_mut(run).is_some_and(|record| record.request_stop(now, false));
+        let is_queued = self.runs.get_mut(run).is_some_and(|record| record.request_stop(now, cause));
         if is_queued {
-            self.finish_run(run, RunOutcome::Closed);
+            self.finish_run(run, RunOutcome::Closed, EndSign::NeverSent);
         }
     }
 
@@ -223,11 +252,17 @@
             if let RunState::Stopping { call_at, taken_at: None, .. } = &mut record.state {
                 if now >= *call_at {
                     *call_at = now + RETRY_INTERVAL;
-                    due.push(*run);
+                    record.stop_calls += 1;
+                    due.push((*run, record.stop_cause, record.stop_calls));
                 }
             }
         }
-        due.into_iter().for_each(|run| self.call_worker(WorkerCall::Stop { run }));
+        for (run, cause, calls) in due {
+            if let Some(cause @ (StopCause::EntryLost | StopCause::LeaseLapsed)) = cause {
+                self.log(format!("event=stop_sent run={run} cause={} calls={calls}", cause.as_str()));
+            }
+            self.call_worker(WorkerCall::Stop { run });
+        }
     }
 
     pub(super) fn handle_stop_reply(&mut self, run: RunId, reply: StopReply) {
@@ -242,20 +277,21 @@
             StopReply::Fenced => self.raise_fencing_token(),
             // The stop is sent again by `send_stops`.
             StopReply::Unanswered => {}
-            StopReply::OtherIncarnation => self.end_incarnation("other_life"),
+            StopReply::OtherIncarnation => self.end_incarnation(IncarnationEnd::STOP_MISDIRECTED),
         }
     }
 
     /// Removes a run that has ended, and queues its end for the next report to its entry.
-    pub(super) fn finish_run(&mut self, run: &RunId, outcome: RunOutcome) {
+    pub(super) fn finish_run(&mut self, run: &RunId, outcome: RunOutcome, sign: EndSign) {
         let Some(record) = self.runs.remove(self.now, run) else {
             return;
         };
         let ran = Millis::from_duration(record.elapsed_since_start(self.now));
-        self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran}", record.entry));
+        let evidence = self.evidence(if record.state == RunState::Queued { EndSign::NeverSent } else { sign });
+        self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran} {evidence}", record.entry));
         let lease = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
         if let Some(lease) = lease {
-            lease.ends.push(RunEnd { run: *run, outcome, ran });
+            lease.ends.push(RunEnd { run: *run, outcome, ran, evidence });
         }
     }
 }
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -8,6 +8,7 @@
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::{RunnerAction, RunnerControl};
+use crate::agent::run_table::StopCause;
 use crate::agent::session_lease::SessionLease;
 
 /// Interval between two reports that need an answer, on a session whose entry has runs here. It is about a third of the
@@ -61,12 +62,18 @@
             return;
         };
         let runs = self.runs.select(|record| record.owner == Some(session));
-        self.log(format!("event=entry_lost entry={} cause={cause} runs={}", lease.address, runs.len()));
+        self.log(format!(
+            "event=entry_lost entry={} cause={cause} runs={} session_left_ms={} received_age_ms={}",
+            lease.address,
+            runs.len(),
+            lease.time_left(self.now).as_millis(),
+            format_age(self.now, lease.received_at)
+        ));
         for run in runs {
             if let Some(record) = self.runs.get_mut(&run) {
                 record.owner = None;
             }
-            self.stop_run(&run);
+            self.stop_run(&run, StopCause::EntryLost);
         }
     }
 
@@ -81,18 +88,22 @@
             self.remove_session(session, "silent");
         }
         let now = self.now;
-        let lapsed: Vec<(SessionId, SmolStr)> = self
-            .sessions
-            .iter_mut()
-            .filter_map(|(session, lease)| lease.detect_lapse(now).then(|| (*session, lease.address.clone())))
-            .collect();
-        for (session, address) in lapsed {
+        let lapsed: Vec<SessionId> =
+            self.sessions.iter_mut().filter_map(|(session, lease)| lease.detect_lapse(now).then_some(*session)).collect();
+        for session in lapsed {
             let runs = self.runs.select(|record| record.owner == Some(session));
             // The lease of an entry without runs is not renewed.
-            if !runs.is_empty() {
-                self.log(format!("event=lease_lapsed entry={address} runs={}", runs.len()));
+            if let Some(lease) = self.sessions.get(&session).filter(|_| !runs.is_empty()) {
+                self.log(format!(
+                    "event=lease_lapsed entry={} runs={} late_ms={} asked_age_ms={} received_age_ms={}",
+                    lease.address,
+                    runs.len(),
+                    lease.time_since_end(now).as_millis(),
+                    format_age(now, lease.asked_at),
+                    format_age(now, lease.received_at)
+                ));
             }
-            runs.iter().for_each(|run| self.stop_run(run));
+            runs.iter().for_each(|run| self.stop_run(run, StopCause::LeaseLapsed));
         }
     }
 
@@ -182,6 +193,11 @@
     }
 }
 
+/// Returns the age of `at` in milliseconds, or `none`.
+pub(super) fn format_age(now: MonoTime, at: Option<MonoTime>) -> String {
+    at.map_or_else(|| "none".to_owned(), |at| now.since(at).as_millis().to_string())
+}
+
 /// Returns whether entries should learn at once that other entries' use of a worker has changed from `before` to `after`, while
 /// all entries use `used` of its `capacity`, all in millicores.
 fn is_significant(capacity: u64, before: u64, after: u64, used: u64) -> bool {
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -31,6 +31,8 @@
     pub reported_at: Option<MonoTime>,
     /// When the last report that needs an answer was sent.
     pub asked_at: Option<MonoTime>,
+    /// When the last frame from the entry was handled.
+    pub received_at: Option<MonoTime>,
     /// Whether the session is closed once no run of the entry is left, because the agent no longer selects the entry.
     pub is_retiring: bool,
     /// When the oldest unanswered report was sent. The entry answers the hello as well.
@@ -50,6 +52,7 @@
             reported_used_by_others: ResourceAmount::default(),
             reported_at: None,
             asked_at: None,
+            received_at: None,
             is_retiring: false,
             unanswered_since: Some(now),
             leased_until: MonoTime::ZERO,
@@ -86,6 +89,16 @@
         now < self.leased_until
     }
 
+    /// Returns how much of the lease is left at `now`; zero if it has ended.
+    pub fn time_left(&self, now: MonoTime) -> Duration {
+        self.leased_until.since(now)
+    }
+
+    /// Returns how long ago the lease ended; zero while it is in force.
+    pub fn time_since_end(&self, now: MonoTime) -> Duration {
+        now.since(self.leased_until)
+    }
+
     /// Returns whether the lease has ended since it was last renewed. Returns true only once for each end.
     pub fn detect_lapse(&mut self, now: MonoTime) -> bool {
         let has_lapsed = !self.is_valid(now) && self.leased_until > MonoTime::ZERO && !self.is_lapse_reported;
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use vanillacleat_core::caller_job::{CallerJob, CallerJobId, ResourceAmount, TaskId};
+use vanillacleat_control::SessionId;
+use vanillacleat_core::caller_job::{CallerJob, CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
 use vanillacleat_core::run_frames::RunStart;
 use vanillacleat_core::site_plan::RouteRule;
@@ -97,6 +98,7 @@
             let measurement = Measurement::Placed { priority, after: self.now.since(arrived_at) };
             self.actions.push(DispatchAction::Measured(measurement));
         }
+        let is_idle = self.worker_registry.get(agent).is_some_and(|worker| worker.runs == 0);
         self.worker_registry.reserve(self.now, agent, demand);
         let orders = self.pending_orders.entry(session).or_default();
         if orders.payloads.last() != Some(payload) {
@@ -104,7 +106,22 @@
         }
         let index = orders.payloads.len() - 1;
         orders.starts.push(RunStart { run, demand, payload: index as u16 });
-        self.log(format!("event=run_sent run={run} agent={agent}"));
+        self.log_start(&run, agent, session, is_idle);
+    }
+
+    /// Logs a start with what its lease rests on and, if it is not the task's first, how the former run ended.
+    fn log_start(&mut self, run: &RunId, agent: &AgentId, session: SessionId, is_idle: bool) {
+        let report_age = self.worker_registry.get(agent).map_or(Duration::ZERO, |worker| self.now.since(worker.last_received_at));
+        let former = self.job_table.get(&run.task.job).and_then(|job| job.former_run(&run.task)).map(|former| {
+            let ended_ms = self.now.since(former.ended_at).as_millis();
+            format!(" after={:?} ended_ms={ended_ms} {}", former.outcome, former.evidence)
+        });
+        self.log(format!(
+            "event=run_sent run={run} agent={agent} report_age_ms={} leased_from_ms={} idle={is_idle}{}",
+            report_age.as_millis(),
+            self.worker_registry.lease_start(session),
+            former.unwrap_or_default()
+        ));
     }
 
     /// Refuses waiting jobs that can no longer end early enough. Abandons started jobs whose callers have timed out.
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -5,7 +5,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport};
+use vanillacleat_core::run_frames::{EndEvidence, EndSign, EntryRecord, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::Millis;
 
@@ -14,6 +14,9 @@
 /// Maximum delay of the renewal of a session's lease. The delay lets the renewal share a frame with orders.
 const ECHO_DELAY_MAX: Duration = Duration::from_millis(40);
 
+/// Maximum number of runs that a log line names.
+const LOGGED_RUNS_MAX: usize = 16;
+
 /// Time without a report after which a session is closed. Agents without runs of this entry report once a second, and close the
 /// session if a report is not answered for a second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -28,18 +31,25 @@
     }
 
     fn handle_hello(&mut self, session: SessionId, hello: &RunHello) {
+        let contact_age = self.worker_registry.contact_age(self.now, &hello.agent);
         let is_restarted = self.worker_registry.record_hello(self.now, session, hello);
-        self.log(format!(
-            "event=agent_found agent={} session={session} restarted={is_restarted} unsettled={} plan_version={}",
-            hello.agent,
-            hello.unsettled.len(),
-            hello.plan_version
-        ));
         // An agent stops all runs of a lost session, so a run that it no longer lists has ended. A new incarnation of an
         // agent opens its first session only after all earlier runs at its worker have ended.
         let has_ended = |run: &RunId| is_restarted || !hello.unsettled.contains(run);
         let ended_runs: Vec<RunId> = self.job_table.runs_at(&hello.agent).into_iter().filter(has_ended).collect();
-        ended_runs.into_iter().for_each(|run| self.handle_lost_run(&hello.agent, run));
+        self.log(format!(
+            "event=agent_found agent={} session={session} restarted={is_restarted} unsettled={} plan_version={} ended={} contact_age_ms={} \
+             unsettled_runs={}",
+            hello.agent,
+            hello.unsettled.len(),
+            hello.plan_version,
+            ended_runs.len(),
+            contact_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string()),
+            format_runs(hello.unsettled.iter())
+        ));
+        let sign = if is_restarted { EndSign::AgentRestarted } else { EndSign::NotUnsettled };
+        let evidence = self.agent_evidence(sign, contact_age);
+        ended_runs.into_iter().for_each(|run| self.handle_lost_run(&hello.agent, run, evidence));
         if !self.entries.is_empty() {
             self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Entries(self.entries.clone()) });
         }
@@ -86,20 +96,41 @@
     fn handle_run_end(&mut self, agent: &AgentId, end: &RunEnd) {
         self.record_run_performance(agent, end);
         let Some(ended) = self.job_table.record_run_end(self.now, agent, end) else {
-            return;
+            return self.log_stale_end(agent, end);
         };
         self.worker_registry.release(agent, ended.demand);
         if !end.outcome.has_run() {
             self.worker_registry.record_rejection(self.now, agent);
         }
         if end.outcome != RunOutcome::Done {
-            self.log(format!("event=run_back run={} agent={agent} outcome={:?} ran_ms={}", end.run, end.outcome, end.ran));
+            let RunEnd { run, outcome, ran, evidence } = end;
+            self.log(format!("event=run_back run={run} agent={agent} outcome={outcome:?} ran_ms={ran} {evidence}"));
         }
         self.apply_effects(ended.effects);
     }
 
-    fn handle_lost_run(&mut self, agent: &AgentId, run: RunId) {
-        self.handle_run_end(agent, &RunEnd { run, outcome: RunOutcome::Lost, ran: Millis(0) });
+    /// Logs the end of a run that is not at the agent any more as far as this entry knows.
+    fn log_stale_end(&mut self, agent: &AgentId, end: &RunEnd) {
+        let RunEnd { run, outcome, ran, evidence } = end;
+        let expected = match self.job_table.last_run(&run.task) {
+            None => "none".to_owned(),
+            Some((number, None)) => format!("{number}@none"),
+            Some((number, Some(sent_to))) => format!("{number}@{sent_to}"),
+        };
+        self.log(format!(
+            "event=run_back run={run} agent={agent} outcome={outcome:?} ran_ms={ran} {evidence} stale=true expected={expected}"
+        ));
+    }
+
+    fn handle_lost_run(&mut self, agent: &AgentId, run: RunId, evidence: EndEvidence) {
+        self.handle_run_end(agent, &RunEnd { run, outcome: RunOutcome::Lost, ran: Millis(0), evidence });
+    }
+
+    /// Returns the evidence for the ends of the runs of an agent with which the last contact was `contact_age` ago.
+    fn agent_evidence(&self, sign: EndSign, contact_age: Option<Duration>) -> EndEvidence {
+        let loss_timeout = self.options.lease_terms.agent_loss_timeout();
+        let lease_left = loss_timeout.saturating_sub(contact_age.unwrap_or(loss_timeout));
+        EndEvidence { sign, age: contact_age.map(Millis::from_duration), lease_left: Millis::from_duration(lease_left) }
     }
 
     pub(super) fn handle_lost_session(&mut self, session: SessionId, cause: &str) {
@@ -108,7 +139,8 @@
         self.sent_route_versions.remove(&session);
         if let Some(agent) = self.worker_registry.record_lost_session(self.now, session) {
             let runs = self.job_table.runs_at(&agent).len();
-            self.log(format!("event=agent_lost agent={agent} session={session} cause={cause} runs={runs}"));
+            let contact_age = self.worker_registry.contact_age(self.now, &agent).unwrap_or_default().as_millis();
+            self.log(format!("event=agent_lost agent={agent} session={session} cause={cause} runs={runs} contact_age_ms={contact_age}"));
         }
     }
 
@@ -123,8 +155,18 @@
     /// Records the runs at silent agents as lost, once every lease under which they could still run has ended.
     pub(super) fn expire_agents(&mut self) {
         for agent in self.worker_registry.expire_agents(self.now, self.resumed_at, self.options.lease_terms.agent_loss_timeout()) {
-            for run in self.job_table.runs_at(&agent) {
-                self.handle_lost_run(&agent, run);
+            let runs = self.job_table.runs_at(&agent);
+            let contact_age = self.worker_registry.contact_age(self.now, &agent);
+            let is_connected = self.worker_registry.get(&agent).is_some_and(|worker| worker.session.is_some());
+            let evidence = self.agent_evidence(EndSign::AgentExpired, contact_age);
+            self.log(format!(
+                "event=agent_expired agent={agent} runs={} connected={is_connected} contact_age_ms={} resumed_age_ms={}",
+                runs.len(),
+                contact_age.unwrap_or_default().as_millis(),
+                self.now.since(self.resumed_at).as_millis()
+            ));
+            for run in runs {
+                self.handle_lost_run(&agent, run, evidence);
             }
         }
     }
@@ -170,3 +212,13 @@
         }
     }
 }
+
+/// Returns the ids of the first [`LOGGED_RUNS_MAX`] runs for a log line, or `none`.
+pub(super) fn format_runs<'a>(runs: impl Iterator<Item = &'a RunId>) -> String {
+    let names: Vec<String> = runs.take(LOGGED_RUNS_MAX).map(RunId::to_string).collect();
+    if names.is_empty() {
+        "none".to_owned()
+    } else {
+        names.join(",")
+    }
+}
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -11,7 +11,7 @@
 
 use super::caller_api::{CallerAnswer, JobPhase};
 use super::job_order::JobRank;
-use super::open_job::{OpenJob, SlotState};
+use super::open_job::{FormerRun, OpenJob, SlotState};
 
 /// Maximum time that the final phase of a job is kept for callers that resubmit or query it.
 const FINAL_PHASE_AGE_MAX: Duration = Duration::from_secs(120);
@@ -168,6 +168,7 @@
             return None;
         }
         slot.state = if end.outcome == RunOutcome::Done { SlotState::Done } else { SlotState::Waiting };
+        slot.former_run = Some(FormerRun { outcome: end.outcome, evidence: end.evidence, ended_at: now });
         if end.outcome == RunOutcome::Failed {
             slot.failures += 1;
             slot.excluded.push(agent.clone());
@@ -187,6 +188,14 @@
         Some(EndedRun { demand, effects })
     }
 
+    /// Returns the last run of a task and the agent that it was sent to, or `None` if its job is not open. The agent is
+    /// absent if the run has ended or was never sent.
+    pub fn last_run(&self, task: &TaskId) -> Option<(u32, Option<&AgentId>)> {
+        let slot = self.jobs.get(&task.job)?.steps.get(usize::from(task.step))?.get(usize::from(task.index))?;
+        let agent = if let SlotState::Sent { agent, .. } = &slot.state { Some(agent) } else { None };
+        Some((slot.runs, agent))
+    }
+
     /// Returns the runs that were sent to an agent and whose ends have not been reported.
     pub fn runs_at(&self, agent: &AgentId) -> Vec<RunId> {
         let sent = self.jobs.values().flat_map(OpenJob::sent_runs);
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -20,7 +20,7 @@
 pub use entry_load::EntryLoad;
 pub use job_order::{core_share, job_age, queue_wait, resubmit_delay, JobRank, JobTimes};
 pub use job_table::{JobEffect, JobTable};
-pub use open_job::{OpenJob, TaskSlot};
+pub use open_job::{FormerRun, OpenJob, TaskSlot};
 pub use run_times::RouteTimes;
 pub use straggler_rule::{slowness_threshold, RunForecast};
 pub use worker_capacity::WorkerCapacity;
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -6,6 +6,7 @@
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::caller_job::{CallerJob, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::run_frames::{EndEvidence, RunOutcome};
 use vanillacleat_core::site_plan::RouteRule;
 use vanillacleat_core::units::MonoTime;
 
@@ -28,6 +29,17 @@
     Done,
 }
 
+/// How a run of a task ended, for the log line of the next run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FormerRun {
+    /// The outcome.
+    pub outcome: RunOutcome,
+    /// Why the run counts as ended.
+    pub evidence: EndEvidence,
+    /// When this entry recorded the end.
+    pub ended_at: MonoTime,
+}
+
 /// The state and history of one task of an open job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskSlot {
@@ -39,6 +51,8 @@
     pub failures: u32,
     /// Agents that should not run the task again: it failed there or was relocated from there.
     pub excluded: Vec<AgentId>,
+    /// The last run that ended.
+    pub former_run: Option<FormerRun>,
 }
 
 /// Holds an accepted job until it is answered and all its runs have ended.
@@ -69,7 +83,7 @@
 impl OpenJob {
     /// Returns an open job whose tasks all wait for their first run.
     pub fn new(job: Arc<CallerJob>, route: Arc<RouteRule>, now: MonoTime, times: JobTimes) -> Self {
-        let slot = TaskSlot { state: SlotState::Waiting, runs: 0, failures: 0, excluded: Vec::new() };
+        let slot = TaskSlot { state: SlotState::Waiting, runs: 0, failures: 0, excluded: Vec::new(), former_run: None };
         let steps = job.steps.iter().map(|step| vec![slot.clone(); usize::from(step.count)]).collect();
         Self {
             job,
@@ -90,6 +104,11 @@
         self.steps.get_mut(usize::from(task.step))?.get_mut(usize::from(task.index))
     }
 
+    /// Returns how the last run of a task ended, or `None` if none has.
+    pub fn former_run(&self, task: &TaskId) -> Option<&FormerRun> {
+        self.steps.get(usize::from(task.step))?.get(usize::from(task.index))?.former_run.as_ref()
+    }
+
     /// Returns the agents that a task should not be sent to: those excluded after earlier runs, and those that already
     /// run as many tasks of its step as the step allows for one worker. Exclusions after earlier runs are ignored once
     /// they number as many as `workers`, since then no worker is better than another.
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -141,6 +141,11 @@
         worker.filter(|worker| worker.session == Some(session)).map_or(Millis(0), WorkerCapacity::lease_start)
     }
 
+    /// Returns the time since anything was known of an agent, or `None` if it is unknown.
+    pub fn contact_age(&self, now: MonoTime, agent: &AgentId) -> Option<Duration> {
+        self.workers.get(agent).map(|worker| now.since(worker.last_contact_at()))
+    }
+
     /// Returns the share of the connected agents whose last reports arrived at least `delay` late. It is high if this process
     /// is behind, and low if only some links are slow.
     pub fn delayed_share(&self, delay: Duration) -> f64 {
--- a/crates/runs/src/remote_clock.rs
+++ b/crates/runs/src/remote_clock.rs
@@ -30,6 +30,11 @@
         Some(clock + elapsed.as_millis() as u64)
     }
 
+    /// Returns the age of the reading that the lower bound is computed from, or `None` before the first one.
+    pub fn reading_age(&self, now: MonoTime) -> Option<Duration> {
+        self.reading.map(|(at, _)| now.since(at))
+    }
+
     /// Returns when a lease of `duration` that begins at `now` ends on the other clock. Before the first reading it
     /// returns zero, which is a lease that has already ended.
     pub fn lease_end(&self, now: MonoTime, duration: Duration) -> u64 {
--- a/crates/runs/tests/placement.rs
+++ b/crates/runs/tests/placement.rs
@@ -10,7 +10,7 @@
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, WorkerInfo};
+use vanillacleat_core::run_frames::{EndEvidence, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, JobDraft, RequestKind};
 
@@ -118,7 +118,8 @@
         assert_eq!(harness.starts_per_worker().iter().sum::<usize>(), run, "{:?}", harness.starts);
         let session = harness.last_session.expect("a start was sent");
         let task = TaskId { job: CallerJobId(0xab), step: 0, index: 0 };
-        let end = RunEnd { run: RunId { task, run: run as u32 }, outcome: RunOutcome::Failed, ran: Millis(10) };
+        let end =
+            RunEnd { run: RunId { task, run: run as u32 }, outcome: RunOutcome::Failed, ran: Millis(10), evidence: EndEvidence::default() };
         let report = RunReport { sent_at: Millis(2), needs_answer: true, ends: vec![end], ..RunReport::default() };
         harness.deliver(DispatchEvent::Frame { session, frame: RunFrame::Report(report) });
     }
