Log and measure stalls of a control thread

Cause: a process that was not scheduled decides with old information, and only its peers' logs hint at that.

Change: a control thread logs event=stalled with the length, once for each time that at least 200 ms pass between two steps or from when a batch is taken until it is handled. The histogram control_stall_seconds{phase} counts them. No decision changes.

--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -5,6 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use metrics::Histogram;
 use vanillacleat_core::units::MonoTime;
 
 /// Interval between the tick events, which trigger periodic work.
@@ -13,6 +14,10 @@
 /// Maximum number of events that are handled in one step.
 const BATCH_EVENTS_MAX: usize = 256;
 
+/// Delay between two steps, or duration of one step, above which the process counts as having been stalled. A step begins at
+/// each tick, and no lease is shorter than this.
+const STALL_THRESHOLD: Duration = Duration::from_millis(200);
+
 /// Whether the control thread continues after an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ControlStep {
@@ -110,8 +115,10 @@
     tick: fn() -> E,
     step: &mut impl FnMut(MonoTime, EventBatch<E>) -> ControlStep,
 ) {
+    let (waiting_stalls, handling_stalls) = (StallLog::new("waiting"), StallLog::new("handling"));
     let started_at = time_since_boot();
     let mut last_tick_at = started_at;
+    let mut handled_at = started_at;
     loop {
         let until_tick = TICK_INTERVAL.saturating_sub(time_since_boot().saturating_sub(last_tick_at));
         let first = receiver.recv_timeout(until_tick);
@@ -131,13 +138,39 @@
             last_tick_at = woken_at;
             batch.events.push(tick());
         }
+        let events = batch.events.len();
+        waiting_stalls.record(woken_at.saturating_sub(handled_at), events);
         let now = MonoTime::from_elapsed(woken_at.saturating_sub(started_at));
-        if !batch.events.is_empty() && step(now, batch) == ControlStep::Stop {
+        let is_stopped = !batch.events.is_empty() && step(now, batch) == ControlStep::Stop;
+        handled_at = time_since_boot();
+        handling_stalls.record(handled_at.saturating_sub(woken_at), events);
+        if is_stopped {
             return;
         }
     }
 }
 
+/// Logs and counts the stalls in one phase of a control thread's loop.
+struct StallLog {
+    /// `waiting` for the time between two steps, `handling` for the time from when a batch was taken until it was handled.
+    phase: &'static str,
+    length: Histogram,
+}
+
+impl StallLog {
+    fn new(phase: &'static str) -> Self {
+        Self { phase, length: metrics::histogram!("control_stall_seconds", "phase" => phase) }
+    }
+
+    /// Records that the phase took `length` and that `events` were handled in the step.
+    fn record(&self, length: Duration, events: usize) {
+        if length >= STALL_THRESHOLD {
+            self.length.record(length.as_secs_f64());
+            log::warn!("event=stalled ms={} phase={} events={events}", length.as_millis(), self.phase);
+        }
+    }
+}
+
 /// Returns the time since the host booted. It includes the time that the host was suspended, because leases expire during a
 /// suspension too.
 fn time_since_boot() -> Duration {
