--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod agent_bench;
 pub mod callers;
 pub mod checks;
 pub mod faults;
