--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -80,6 +80,8 @@
     /// Whether the agent has drained. It then makes no further calls.
     pub is_drained: bool,
     now: u64,
+    /// How long the worker and its clock have stood still, in milliseconds.
+    suspended: u64,
     last_call: Option<SentCall>,
     new_calls: Vec<SentCall>,
     open_polls: Vec<SentCall>,
@@ -113,6 +115,7 @@
             log_lines: Vec::new(),
             is_drained: false,
             now: 0,
+            suspended: 0,
             last_call: None,
             new_calls: Vec::new(),
             open_polls: Vec::new(),
@@ -197,7 +200,7 @@
     pub fn advance(&mut self, end: u64) {
         while self.now < end {
             self.now += 1;
-            self.worker.advance(MonoTime::from_millis(self.now));
+            self.worker.advance(self.worker_time());
             self.record_running();
             for (session, sent_at) in std::mem::take(&mut self.unanswered_reports) {
                 if self.answering.contains(&session) {
@@ -221,12 +224,23 @@
         let replies = calls.into_iter().map(|call| (call.clone(), self.execute(&call))).collect();
         while self.now < end {
             self.now += 1;
-            self.worker.advance(MonoTime::from_millis(self.now));
+            self.worker.advance(self.worker_time());
             self.record_running();
         }
         replies
     }
 
+    /// Advances the time to `end` while the host is suspended: neither the worker's clock nor its runs advance.
+    pub fn advance_suspended(&mut self, end: u64) {
+        self.suspended += end - self.now;
+        self.now = end;
+    }
+
+    /// Returns the time in the worker's life, without the time for which it was suspended.
+    pub fn worker_time(&self) -> MonoTime {
+        MonoTime::from_millis(self.now - self.suspended)
+    }
+
     /// Takes the calls that the agent has made and that were not executed yet.
     pub fn take_calls(&mut self) -> Vec<SentCall> {
         std::mem::take(&mut self.new_calls)
@@ -239,7 +253,7 @@
 
     /// Executes a call at the worker now and returns its reply.
     pub fn execute(&mut self, sent: &SentCall) -> WorkerReply {
-        let now = MonoTime::from_millis(self.now);
+        let now = self.worker_time();
         let is_meant = sent.worker == self.worker.name;
         let reply = match &sent.call {
             WorkerCall::Start { run, .. } if !is_meant => WorkerReply::Start(*run, StartReply::OtherIncarnation),
@@ -267,6 +281,13 @@
         self.reply(sent, unanswered(&sent.call));
     }
 
+    /// Delivers the timeouts of the polls that the worker has not answered yet.
+    pub fn fail_open_polls(&mut self) {
+        for sent in std::mem::take(&mut self.open_polls) {
+            self.fail(&sent);
+        }
+    }
+
     /// Returns the runs whose ends were reported although the worker ran them then or later.
     pub fn outlived(&self) -> Vec<OutlivedReport> {
         self.outlived.values().copied().collect()
@@ -310,7 +331,7 @@
                 self.open_polls.push(sent);
                 continue;
             }
-            let list = self.worker.lease_poll(MonoTime::from_millis(self.now), sent.token, None, *observed);
+            let list = self.worker.lease_poll(self.worker_time(), sent.token, None, *observed);
             self.reply(&sent, WorkerReply::LeasePoll(*number, list));
         }
     }
