--- /dev/null
+++ b/crates/runs/tests/session_order.rs
@@ -0,0 +1,149 @@
+//! Tests of frames of an agent's sessions that overtake each other: sessions are separate connections.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::units::Millis;
+use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
+use vanillacleat_runs::entry::DispatchEvent;
+
+mod support;
+use support::agent_bench::{run, AgentBench, DEMAND};
+use support::site_bench::{Direction, SiteBench};
+
+/// Time within which the runs of an agent that falls silent end.
+const LOSS_TIMEOUT: u64 = 958;
+
+/// Returns a site whose entry has sent a run to agent 0, which runs it, while agent 1 has room.
+fn site_with_a_run() -> SiteBench {
+    let mut site = SiteBench::new(2);
+    site.open_session(0, 1);
+    site.advance(1_000);
+    site.request(1, 1);
+    site.advance(1_100);
+    assert_eq!(site.starts.len(), 1);
+    assert_eq!(site.agents[0].worker.running().count(), 1);
+    site.open_session(1, 1);
+    site.advance(1_200);
+    site
+}
+
+// Guards against a hello that is delivered after that of a later session, when the entry has already sent starts on the later one.
+// The late one comes from the same process of the agent, or from an earlier one.
+#[rstest]
+#[case::same_incarnation(Incarnation(1))]
+#[case::earlier_incarnation(Incarnation(0))]
+fn late_hello_of_an_earlier_session_ends_no_run(#[case] incarnation: Incarnation) {
+    let mut site = site_with_a_run();
+    let hello = RunHello {
+        agent: "agent-1".parse().expect("a valid name"),
+        incarnation,
+        zone: "zone-0".parse().expect("a valid name"),
+        plan_version: 1,
+        unsettled: Vec::new(),
+    };
+    let session = SessionId(99);
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) }]);
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(session)]);
+    site.advance(1_200 + LOSS_TIMEOUT - 200);
+    assert_eq!(site.double_runs(), vec![]);
+}
+
+// Guards against an agent that opens a second session with an entry while the first one is open, which happens if the entry is
+// deselected and selected again during a dial: the hello has to list the runs of the first.
+#[test]
+fn second_session_with_the_same_entry_ends_no_run() {
+    let mut site = site_with_a_run();
+    site.open_session(0, 2);
+    site.advance(1_200 + LOSS_TIMEOUT);
+    assert_eq!(site.double_runs(), vec![]);
+}
+
+// Guards against an order that arrives on a session that the agent has closed, after the hello of the next one.
+#[test]
+fn order_on_a_closed_session_starts_nothing() {
+    let mut bench = AgentBench::new();
+    bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(1)), address: SmolStr::new_static("entry-1") });
+    bench.deliver(RunnerEvent::SessionOpened { session: SessionId(3), address: SmolStr::new_static("entry-1") });
+    bench.order_start(1, run(0, 1));
+    bench.advance(300);
+    assert!(!bench.is_running(run(0, 1)));
+}
+
+// Guards against a run that the agent still has when it opens the next session, but does not list.
+#[test]
+fn hello_lists_the_runs_that_are_being_stopped() {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(30);
+    bench.is_lost = |call| matches!(call, WorkerCall::Stop { .. });
+    bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(1)), address: SmolStr::new_static("entry-1") });
+    bench.deliver(RunnerEvent::SessionOpened { session: SessionId(3), address: SmolStr::new_static("entry-1") });
+    let (_, hello) = bench.hellos.last().expect("a hello was sent");
+    assert_eq!(hello.unsettled, vec![run(0, 1)]);
+}
+
+// Guards against the end of an order that the entry had given up, which is taken for the end of a later order of the same number:
+// the job was removed and submitted again, and its runs are counted from one again. After an interruption of the link its
+// two directions resume at different times.
+#[rstest]
+fn end_of_a_former_order_is_not_taken_for_that_of_a_later_one(#[values(0, 5, 100)] delay: u64) {
+    let mut site = SiteBench::new(2);
+    site.open_session(0, 1);
+    site.advance(1_100);
+    let session = SiteBench::session(0, 1);
+    site.cut(session);
+    site.request(1, 1);
+    site.advance(1_200);
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::CallerDisconnected(ReplyId(1))]);
+    site.advance(1_200 + 1_300);
+    assert_eq!(site.entry.job_table().jobs().count(), 0, "the run was given up, and the job removed");
+    site.open_session(1, 1);
+    site.held.remove(&(session, Direction::ToEntry));
+    site.advance(site.now() + delay);
+    site.request(1, 2);
+    site.advance(site.now() + delay);
+    site.restore(session);
+    site.advance(3_500);
+    assert!(site.starts.len() >= 2);
+    assert_eq!(site.double_runs(), vec![]);
+}
+
+// Guards against an order that is ignored because the agent still has a run of the same number for another entry: the entry that
+// sent it would wait for its end for ever.
+#[test]
+fn order_for_a_run_of_another_entry_is_answered() {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(30);
+    bench.is_lost = |call| matches!(call, WorkerCall::Stop { .. });
+    bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(1)), address: SmolStr::new_static("entry-1") });
+    bench.advance(50);
+    bench.order_start(2, run(0, 1));
+    bench.is_lost = |_| false;
+    bench.advance(2_000);
+    let is_answered = bench.ends.iter().any(|(session, _, end)| *session == SessionId(2) && end.run == run(0, 1));
+    assert!(is_answered || bench.is_running(run(0, 1)), "entry 2 learns nothing of its order");
+}
+
+// Guards against an entry that stops a run which another entry ordered under the same number.
+#[test]
+fn stop_of_another_entry_stops_no_run() {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(30);
+    let orders = RunOrders {
+        leased_from: Millis(bench.now()),
+        payloads: vec![SmolStr::new_static("text")],
+        starts: vec![RunStart { run: run(0, 1), demand: DEMAND, payload: 0 }],
+        stops: vec![run(0, 1)],
+    };
+    bench.deliver(RunnerEvent::Frame { session: SessionId(2), frame: OrderFrame::Orders(orders) });
+    bench.advance(500);
+    assert!(bench.is_running(run(0, 1)), "{:?}", bench.outcomes(run(0, 1)));
+    assert!(!bench.outcomes(run(0, 1)).contains(&RunOutcome::Stopped));
+}
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -75,6 +75,10 @@
     pub ends: Vec<(SessionId, u64, RunEnd)>,
     /// The hellos that were sent.
     pub hellos: Vec<(SessionId, RunHello)>,
+    /// All frames that were sent, for a test to deliver to an entry.
+    pub sent_frames: Vec<(SessionId, RunFrame)>,
+    /// The sessions that the agent closed, for a test to close at an entry.
+    pub closed_sessions: Vec<SessionId>,
     /// The log lines, with their times.
     pub log_lines: Vec<(u64, String)>,
     /// Whether the agent has drained. It then makes no further calls.
@@ -93,8 +97,17 @@
 impl AgentBench {
     /// Returns an agent with a settled worker and the sessions 1 and 2 with two entries, at 20 ms.
     pub fn new() -> Self {
+        let mut bench = Self::settled(1);
+        bench.open_session(1);
+        bench.open_session(2);
+        bench.advance(20);
+        bench
+    }
+
+    /// Returns the agent of this number with a settled worker and without sessions, at 10 ms.
+    pub fn settled(number: u64) -> Self {
         let options = RunnerOptions {
-            agent: "agent-1".parse().expect("a valid name"),
+            agent: format!("agent-{number}").parse().expect("a valid name"),
             incarnation: Incarnation(1),
             zone: "zone-0".parse().expect("a valid name"),
             entries: vec![SmolStr::new_static("entry-1"), SmolStr::new_static("entry-2")],
@@ -112,6 +125,8 @@
             answering: BTreeSet::from([SessionId(1), SessionId(2)]),
             ends: Vec::new(),
             hellos: Vec::new(),
+            sent_frames: Vec::new(),
+            closed_sessions: Vec::new(),
             log_lines: Vec::new(),
             is_drained: false,
             now: 0,
@@ -125,9 +140,6 @@
         };
         bench.beat(WORKER, BORN);
         bench.advance(10);
-        bench.open_session(1);
-        bench.open_session(2);
-        bench.advance(20);
         bench
     }
 
@@ -174,6 +186,9 @@
             return;
         }
         for action in self.agent.handle(MonoTime::from_millis(dated), event) {
+            if let RunnerAction::Send { session, frame } = &action {
+                self.sent_frames.push((*session, frame.clone()));
+            }
             match action {
                 RunnerAction::Call { incarnation_number, worker, fencing_token, call } => {
                     let sent = SentCall { incarnation_number, worker, token: fencing_token, call, sent_at: self.now };
@@ -188,6 +203,7 @@
                 }
                 RunnerAction::Send { session, frame: RunFrame::Hello(hello) } => self.hellos.push((session, hello)),
                 RunnerAction::Log(line) => self.log_lines.push((self.now, line)),
+                RunnerAction::Close(session) => self.closed_sessions.push(session),
                 RunnerAction::Drained => self.is_drained = true,
                 _ => {}
             }
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -8,3 +8,4 @@
 pub mod faults;
 pub mod plans;
 pub mod simulation;
+pub mod site_bench;
