--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -24,7 +24,7 @@
 pub const BORN: u64 = 1_000;
 /// Time in milliseconds after which an unanswered call fails, in addition to the wait of a lease poll.
 const CALL_TIMEOUT: u64 = 80;
-/// Run time of each run.
+/// Default run time of a run.
 const RUN_TIME: Duration = Duration::from_secs(20);
 
 /// Returns the run of this number of the task of this index.
@@ -67,6 +67,8 @@
     pub worker: WorkerModel,
     /// Selects the calls that are lost: the agent sees them time out.
     pub is_lost: fn(&WorkerCall) -> bool,
+    /// Run time of the runs that start from now on.
+    pub run_time: Duration,
     /// The calls that were lost, for a test to execute later.
     pub lost_calls: Vec<SentCall>,
     /// Sessions whose entries answer reports.
@@ -121,6 +123,7 @@
             agent: RunnerControl::new(options),
             worker: WorkerModel::new(MonoTime::ZERO, WORKER, BORN, capacity),
             is_lost: |_| false,
+            run_time: RUN_TIME,
             lost_calls: Vec::new(),
             answering: BTreeSet::from([SessionId(1), SessionId(2)]),
             ends: Vec::new(),
@@ -276,7 +279,7 @@
             WorkerCall::Stop { run } if !is_meant => WorkerReply::Stop(*run, StopReply::OtherIncarnation),
             WorkerCall::LeasePoll { number, .. } if !is_meant => WorkerReply::LeasePoll(*number, LeasePollReply::OtherIncarnation),
             WorkerCall::Start { run, lease_end, .. } => {
-                WorkerReply::Start(*run, self.worker.start(now, sent.token, *run, *lease_end, (DEMAND, RUN_TIME, false)))
+                WorkerReply::Start(*run, self.worker.start(now, sent.token, *run, *lease_end, (DEMAND, self.run_time, false)))
             }
             WorkerCall::Stop { run } => WorkerReply::Stop(*run, self.worker.stop(now, sent.token, *run)),
             WorkerCall::LeasePoll { number, lease_end, observed, .. } => {
--- a/crates/runs/tests/support/site_bench.rs
+++ b/crates/runs/tests/support/site_bench.rs
@@ -59,7 +59,9 @@
     pub held: BTreeSet<(SessionId, Direction)>,
     /// Whether the entry's process is paused.
     pub is_paused: bool,
-    /// Estimated run time of the callers' tasks, in milliseconds.
+    /// Number of tasks of the callers' jobs.
+    pub width: u16,
+    /// Estimated run time of these tasks, in milliseconds.
     pub estimate: u64,
     /// The starts that the entry ordered.
     pub starts: Vec<OrderedStart>,
@@ -85,6 +87,7 @@
             agents,
             held: BTreeSet::new(),
             is_paused: false,
+            width: 1,
             estimate: 100,
             starts: Vec::new(),
             entry_log: Vec::new(),
@@ -112,7 +115,7 @@
         self.agents[agent].deliver(opened);
     }
 
-    /// Delivers the request of the caller of this number, whose job has one task.
+    /// Delivers the request of the caller of this number.
     pub fn request(&mut self, caller: u64, reply: u64) {
         let request = self.make_request(caller, reply);
         self.deliver_batch(Duration::ZERO, vec![request]);
@@ -120,7 +123,7 @@
 
     /// Returns the request of the caller of this number.
     pub fn make_request(&self, caller: u64, reply: u64) -> DispatchEvent {
-        let request = CallerState::new(caller, 1, self.estimate).request();
+        let request = CallerState::new(caller, self.width, self.estimate).request();
         DispatchEvent::Requested { reply: ReplyId(reply), request }
     }
 
--- a/crates/runs/tests/worker_loss.rs
+++ b/crates/runs/tests/worker_loss.rs
@@ -1,6 +1,9 @@
 //! Tests that an agent reports the end of a run only when its worker can't run it any more. What an agent takes for the loss of
 //! its worker may be wrong: the worker then goes on under its lease.
 
+use std::time::Duration;
+
+use rstest::rstest;
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::run_frames::RunOutcome;
@@ -10,6 +13,7 @@
 
 mod support;
 use support::agent_bench::{run, AgentBench, BORN, WORKER};
+use support::site_bench::SiteBench;
 
 /// Returns an agent whose worker runs two runs and has listed both.
 fn bench_with_listed_runs() -> AgentBench {
@@ -34,6 +38,32 @@
     matches!(call, WorkerCall::LeasePoll { .. })
 }
 
+// Guards against both tasks of a job running twice at once: the worker's list has shown their runs when the sign arrives that the agent
+// takes for the loss of its worker.
+#[rstest]
+#[case::foreign_heartbeat(|agent: &mut AgentBench| agent.beat("i-9", BORN + 1))]
+#[case::late_deregistration(|agent: &mut AgentBench| agent.deliver(RunnerEvent::WorkerDeregistered(SmolStr::new_static(WORKER))))]
+fn sign_of_a_loss_doubles_no_task(#[case] deliver_sign: fn(&mut AgentBench)) {
+    let mut site = SiteBench::new(2);
+    site.open_session(0, 1);
+    site.agents[0].run_time = Duration::from_millis(320);
+    site.advance(1_000);
+    site.request(1, 1);
+    site.advance(1_300);
+    site.agents[0].run_time = Duration::from_millis(150);
+    site.width = 2;
+    site.request(2, 2);
+    site.open_session(1, 1);
+    // The end of the first job's run answers the poll, whose list also shows the runs of the second job.
+    site.advance(1_325);
+    assert_eq!(site.agents[0].worker.running().count(), 2);
+    deliver_sign(&mut site.agents[0]);
+    site.advance(2_230);
+    site.agents[0].beat(WORKER, BORN);
+    site.advance(2_300);
+    assert_eq!(site.double_runs(), vec![]);
+}
+
 // Guards against runs reported as lost because a heartbeat of another writer arrives.
 #[test]
 fn heartbeat_of_another_name_ends_no_listed_run() {
@@ -156,6 +186,34 @@
     assert_eq!(bench.outlived(), vec![]);
 }
 
+// Guards against leases that are longer than meant at an incarnation that began at an earlier wall-clock time, because the clock was
+// set back: its heartbeats count as late, and its clock is below the estimate of the former one.
+#[test]
+fn incarnation_with_an_earlier_start_time_gets_no_longer_leases() {
+    let mut bench = AgentBench::new();
+    bench.advance(3_000);
+    let (now, capacity) = (bench.now(), bench.worker.capacity);
+    bench.worker = WorkerModel::new(MonoTime::from_millis(now), WORKER, BORN - 1, capacity);
+    bench.beat(WORKER, BORN - 1);
+    bench.order_start(1, run(0, 1));
+    bench.advance(3_200);
+    bench.is_lost = |_| true;
+    bench.advance(6_000);
+    assert_eq!(bench.outlived(), vec![]);
+}
+
+// Guards against a run that is never reported as ended, because its worker left before it listed the run, and did not return.
+#[test]
+fn run_of_a_worker_that_does_not_return_ends() {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(22);
+    bench.deliver(RunnerEvent::WorkerDeregistered(SmolStr::new_static(WORKER)));
+    bench.is_lost = |_| true;
+    bench.advance(3_000);
+    assert_eq!(bench.outcomes(run(0, 1)), vec![RunOutcome::Lost]);
+}
+
 // Guards against an agent that reaches the end of its drain and reports the runs of a worker that goes on under its lease.
 #[test]
 fn drain_timeout_ends_no_run_at_the_worker() {
