--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -2,8 +2,10 @@
 
 #![allow(dead_code)]
 
+pub mod agent_bench;
 pub mod callers;
 pub mod checks;
 pub mod faults;
 pub mod plans;
 pub mod simulation;
+pub mod site_bench;
