No run ends on a sign that does not prove it: heartbeats, deregistrations and misdirected calls only decide which incarnation is called

What callers saw: two runs of a task at the same time, both tasks of a job within 17 to 40 ms of the start of the first run, no stop, and an agent that reads its worker's list only about a second later. Cause: an agent took a heartbeat of another incarnation, a deregistration, or one call that was answered as misdirected for the end of its worker's incarnation, and reported all listed runs as lost at once. The entry placed them again while the worker went on under its lease. The agent then had no incarnation to poll until the next heartbeat. Change: a heartbeat of another incarnation is confirmed by a poll of the worker before it replaces the current one. After a deregistration the worker is polled until it runs nothing or its lease has ended. Runs of an incarnation that is no longer called end by a list of a later one at the worker's address, or when the last lease that a call may have granted has ended; that time is no longer reset. What a later incarnation of the same name may run, because its former one never listed it or a start is in transit, is stopped there first. A list of another incarnation also counts if its start time is earlier.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -142,13 +142,7 @@
     StopConfirmed,
     /// The worker rejected a start as outdated, and a list that was requested later does not contain the run.
     OutdatedUnlisted,
-    /// The incarnation that ran it has ended: the worker deregistered.
-    Deregistered,
-    /// The incarnation that ran it has ended: a worker at its address rejected a call as meant for another incarnation.
-    Misdirected,
-    /// The incarnation that ran it has ended: another one sent a heartbeat.
-    OtherHeartbeat,
-    /// The incarnation that ran it has ended: a later one returned a list.
+    /// The incarnation that ran it has ended: another one at the worker's address returned a list.
     LaterList,
     /// The worker answered no polls until its lease must have ended.
     WorkerSilent,
@@ -172,9 +166,6 @@
             Self::Unlisted => "unlisted",
             Self::StopConfirmed => "stop_confirmed",
             Self::OutdatedUnlisted => "outdated_unlisted",
-            Self::Deregistered => "deregistered",
-            Self::Misdirected => "misdirected",
-            Self::OtherHeartbeat => "other_heartbeat",
             Self::LaterList => "later_list",
             Self::WorkerSilent => "worker_silent",
             Self::Drained => "drained",
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -100,6 +100,10 @@
     pub stop_cause: Option<StopCause>,
     /// How often the stop call was sent.
     pub stop_calls: u32,
+    /// Number of start calls that were not answered and may still be executed.
+    pub open_calls: u32,
+    /// Whether a list has shown the run, and so the incarnation that runs it.
+    pub is_listed: bool,
 }
 
 /// The runs ordered at one worker. A run occupies capacity at the worker from its start call until its end is known.
@@ -234,16 +238,6 @@
         matches!(self.state, RunState::Starting { .. })
     }
 
-    /// Returns whether the run can't be running in a later incarnation of the worker: either its start was never sent,
-    /// or the incarnation that has ended had listed it.
-    pub fn ends_with_incarnation(&self) -> bool {
-        match self.state {
-            RunState::Queued => true,
-            RunState::Running { listed_at, .. } => listed_at > self.started_at,
-            RunState::Starting { .. } | RunState::Stopping { .. } => false,
-        }
-    }
-
     /// Marks the run to be stopped at the worker's next incarnation, even if the last one accepted a stop. The run may
     /// have started in either of them.
     pub fn request_stop_again(&mut self, now: MonoTime) {
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -1,6 +1,7 @@
 //! The control state of an agent. The agent is the only process that calls its worker, and so the only one that starts
 //! leased runs there.
 
+mod incarnations;
 mod lease_polls;
 mod orders;
 mod reporting;
@@ -20,7 +21,7 @@
 
 use super::calls::{WorkerCall, WorkerReply};
 use super::entry_selection::EntrySelection;
-use super::run_table::{RunRecord, RunState, RunTable};
+use super::run_table::{RunState, RunTable};
 use super::session_lease::SessionLease;
 use super::worker_incarnation::{WorkerIncarnation, WorkerNotice};
 use crate::LeaseTerms;
@@ -124,34 +125,6 @@
     Drained,
 }
 
-/// The sign from which an agent concludes that the worker's incarnation has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct IncarnationEnd {
-    /// Short form of the cause in logs.
-    cause: &'static str,
-    /// What arrived, in logs.
-    sign: &'static str,
-    /// The evidence for the ends of the incarnation's runs.
-    evidence: EndSign,
-}
-
-impl IncarnationEnd {
-    const HEARTBEAT: Self = Self { cause: "reborn", sign: "heartbeat", evidence: EndSign::OtherHeartbeat };
-    const LATER_LIST: Self = Self { cause: "reborn", sign: "list", evidence: EndSign::LaterList };
-    const DEREGISTRATION: Self = Self { cause: "left", sign: "deregistration", evidence: EndSign::Deregistered };
-    const POLL_MISDIRECTED: Self = Self { cause: "other_life", sign: "poll_reply", evidence: EndSign::Misdirected };
-    const START_MISDIRECTED: Self = Self { cause: "other_life", sign: "start_reply", evidence: EndSign::Misdirected };
-    const STOP_MISDIRECTED: Self = Self { cause: "other_life", sign: "stop_reply", evidence: EndSign::Misdirected };
-}
-
-/// The worker's incarnation that counts as ended, for the log.
-#[derive(Clone, Debug)]
-struct LostIncarnation {
-    worker: SmolStr,
-    born: u64,
-    lost_at: MonoTime,
-}
-
 /// The complete control state of one agent. Handles events and returns the actions to execute.
 #[derive(Debug)]
 pub struct RunnerControl {
@@ -159,8 +132,12 @@
     options: RunnerOptions,
     fencing_token: u64,
     incarnation: Option<WorkerIncarnation>,
-    /// The last incarnation that counts as ended.
-    lost_incarnation: Option<LostIncarnation>,
+    /// The last incarnation that the agent has lost, for the log.
+    lost_incarnation: Option<incarnations::LostIncarnation>,
+    /// A heartbeat of another incarnation than the current one, until the worker has confirmed or refuted it.
+    successor: Option<WorkerNotice>,
+    /// Name and start of the incarnation at which the runs in the table were started, if it is not the current one.
+    former: Option<(SmolStr, u64)>,
     /// Changes with each incarnation that begins or ends, so that replies to calls of an earlier one are ignored.
     incarnation_number: u64,
     runs: RunTable,
@@ -170,6 +147,8 @@
     rng: ChaCha8Rng,
     plan: SitePlan,
     polls: lease_polls::PollState,
+    /// When the last call was sent that extends the lease of a worker that receives it.
+    lease_extended_at: MonoTime,
     /// When the worker last answered a call.
     worker_answered_at: MonoTime,
     drain_started_at: Option<MonoTime>,
@@ -184,6 +163,8 @@
             fencing_token: options.fencing_token,
             incarnation: None,
             lost_incarnation: None,
+            successor: None,
+            former: None,
             incarnation_number: 0,
             runs: RunTable::default(),
             sessions: BTreeMap::new(),
@@ -192,6 +173,7 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             polls: lease_polls::PollState::default(),
+            lease_extended_at: MonoTime::ZERO,
             worker_answered_at: MonoTime::ZERO,
             drain_started_at: None,
             actions: Vec::new(),
@@ -217,6 +199,8 @@
         self.start_queued();
         self.retry_starts();
         self.send_stops();
+        self.finish_leaving();
+        self.probe_successor();
         self.poll_lease();
         self.send_reports();
         if self.now >= self.next_selection_at {
@@ -255,77 +239,20 @@
         })
     }
 
-    fn handle_heartbeat(&mut self, notice: WorkerNotice) {
-        match &mut self.incarnation {
-            Some(incarnation) if incarnation.matches(&notice) => incarnation.update(notice),
-            // A late heartbeat of an earlier incarnation is ignored.
-            Some(incarnation) if notice.born < incarnation.notice.born => {}
-            _ => self.begin_incarnation(notice),
-        }
-    }
-
-    fn begin_incarnation(&mut self, notice: WorkerNotice) {
-        self.end_incarnation(IncarnationEnd::HEARTBEAT);
-        // The higher token makes the new incarnation reject calls to an earlier one of the same name that are still in
-        // transit.
-        self.fencing_token += 1;
-        self.log_worker_found(&notice);
-        self.incarnation_number += 1;
-        self.incarnation = Some(WorkerIncarnation::new(notice));
-        self.polls = lease_polls::PollState::default();
-    }
-
-    fn log_worker_found(&mut self, notice: &WorkerNotice) {
-        let WorkerNotice { worker, born, is_ready, sequence, .. } = notice;
-        let lost = self.lost_incarnation.as_ref();
-        let is_same = lost.is_some_and(|lost| lost.worker == *worker && lost.born == *born);
-        let lost_ms = lost.map_or_else(|| "none".to_owned(), |lost| self.now.since(lost.lost_at).as_millis().to_string());
-        self.log(format!(
-            "event=worker_found worker={worker} born={born} ready={is_ready} heartbeat={sequence} same={is_same} lost_ms={lost_ms}"
-        ));
-    }
-
-    /// Removes the worker's incarnation. Ends the queued runs and the runs that the incarnation had listed, which have
-    /// ended with it. Marks the other runs to be stopped at the next incarnation.
-    fn end_incarnation(&mut self, end: IncarnationEnd) {
-        let Some(incarnation) = self.incarnation.take() else {
-            return;
-        };
-        let WorkerNotice { worker, born, .. } = incarnation.notice;
-        let lost = self.runs.select(RunRecord::ends_with_incarnation);
-        let evidence = self.evidence(end.evidence);
-        self.log(format!(
-            "event=worker_lost worker={worker} born={born} cause={} runs={} sign={} ended={} answer_age_ms={} {evidence}",
-            end.cause,
-            self.runs.len(),
-            end.sign,
-            lost.len(),
-            self.now.since(self.worker_answered_at).as_millis(),
-        ));
-        self.lost_incarnation = Some(LostIncarnation { worker, born, lost_at: self.now });
-        self.incarnation_number += 1;
-        lost.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost, end.evidence));
-        // A start in transit may have reached the next incarnation of the same name, which therefore has to stop the
-        // run.
-        let now = self.now;
-        self.runs.iter_mut().for_each(|(_, record)| record.request_stop_again(now));
-    }
-
     fn finish_all_runs(&mut self, outcome: RunOutcome, sign: EndSign) {
         let runs = self.runs.select(|_| true);
         runs.into_iter().for_each(|run| self.finish_run(&run, outcome, sign));
     }
 
-    fn handle_deregistration(&mut self, worker: &SmolStr) {
-        if self.incarnation.as_ref().is_some_and(|incarnation| incarnation.notice.worker == *worker) {
-            self.end_incarnation(IncarnationEnd::DEREGISTRATION);
-        }
-    }
-
     fn handle_reply(&mut self, incarnation_number: u64, reply: WorkerReply) {
         if incarnation_number != self.incarnation_number || self.incarnation.is_none() {
             return;
         }
+        if let WorkerReply::LeasePoll(number, reply) = &reply {
+            if self.polls.probe.is_some_and(|probe| probe.number == *number) {
+                return self.handle_probe_reply(reply);
+            }
+        }
         if reply.is_answer() {
             self.worker_answered_at = self.now;
         } else {
--- /dev/null
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -0,0 +1,202 @@
+//! Incarnations of the worker: which one the agent calls, and what becomes of the runs of one that it no longer calls.
+//!
+//! Heartbeats, deregistrations and misdirected calls may be late or come from another writer, and a worker that deregisters goes on for
+//! a while. They decide which incarnation is called, but no run ends on them. A run has ended when a list of the worker shows it:
+//! the one of its own incarnation, or one of a later incarnation at the worker's address. Without such a list it has ended when the
+//! last lease that a call may have granted has ended.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use vanillacleat_core::run_frames::{EndSign, RunOutcome};
+use vanillacleat_core::units::MonoTime;
+
+use super::lease_polls::{PollState, Probe, POLL_RETRY_DELAY};
+use super::{RunnerAction, RunnerControl};
+use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
+use crate::agent::run_table::{RunRecord, RunState};
+use crate::agent::worker_incarnation::{WorkerIncarnation, WorkerNotice};
+
+/// The sign on which an agent no longer calls the worker's incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct IncarnationEnd {
+    /// Short form of the cause in logs.
+    cause: &'static str,
+    /// What arrived, in logs.
+    sign: &'static str,
+}
+
+impl IncarnationEnd {
+    pub(super) const HEARTBEAT: Self = Self { cause: "reborn", sign: "confirmed_heartbeat" };
+    pub(super) const LATER_LIST: Self = Self { cause: "reborn", sign: "list" };
+    pub(super) const DEREGISTRATION: Self = Self { cause: "left", sign: "deregistration" };
+    pub(super) const POLL_MISDIRECTED: Self = Self { cause: "other_life", sign: "poll_reply" };
+    pub(super) const START_MISDIRECTED: Self = Self { cause: "other_life", sign: "start_reply" };
+    pub(super) const STOP_MISDIRECTED: Self = Self { cause: "other_life", sign: "stop_reply" };
+}
+
+/// An incarnation of the worker that the agent has lost.
+#[derive(Clone, Debug)]
+pub(super) struct LostIncarnation {
+    worker: SmolStr,
+    born: u64,
+    lost_at: MonoTime,
+}
+
+impl RunnerControl {
+    pub(super) fn handle_heartbeat(&mut self, notice: WorkerNotice) {
+        match &mut self.incarnation {
+            None => self.begin_incarnation(notice),
+            Some(incarnation) if incarnation.matches(&notice) => {
+                incarnation.update(notice);
+                self.successor = None;
+            }
+            Some(_) => self.successor = Some(notice),
+        }
+    }
+
+    /// Asks the worker whether the incarnation of a heartbeat is the one at its address.
+    pub(super) fn probe_successor(&mut self) {
+        let (Some(successor), Some(incarnation)) = (&self.successor, &self.incarnation) else {
+            return;
+        };
+        if self.polls.probe.is_some_and(|probe| probe.is_pending || self.now < probe.retry_at) {
+            return;
+        }
+        self.polls.last_number += 1;
+        let number = self.polls.last_number;
+        // Another incarnation of the same name may turn out to be an earlier one, whose calls must not fence those to the current one.
+        let fencing_token = self.fencing_token + u64::from(successor.worker != incarnation.notice.worker);
+        self.polls.probe = Some(Probe { number, is_pending: true, retry_at: self.now + POLL_RETRY_DELAY });
+        self.actions.push(RunnerAction::Call {
+            incarnation_number: self.incarnation_number,
+            worker: successor.worker.clone(),
+            fencing_token,
+            call: WorkerCall::LeasePoll { number, lease_end: None, observed: 0, wait: Duration::ZERO },
+        });
+    }
+
+    pub(super) fn handle_probe_reply(&mut self, reply: &LeasePollReply) {
+        if let Some(probe) = &mut self.polls.probe {
+            probe.is_pending = false;
+        }
+        let (Some(successor), Some(incarnation)) = (self.successor.take(), &self.incarnation) else {
+            return;
+        };
+        match reply {
+            LeasePollReply::Runs(list) if successor.worker != incarnation.notice.worker || list.born != incarnation.notice.born => {
+                self.replace_incarnation(successor, IncarnationEnd::HEARTBEAT);
+            }
+            LeasePollReply::Runs(_) | LeasePollReply::OtherIncarnation => {
+                self.log(format!("event=heartbeat_refuted worker={} born={}", successor.worker, successor.born));
+            }
+            LeasePollReply::Fenced => self.raise_fencing_token(),
+            LeasePollReply::Unanswered => self.successor = Some(successor),
+        }
+    }
+
+    /// Replaces the incarnation after a list of another one has shown that it is at the worker's address.
+    fn replace_incarnation(&mut self, notice: WorkerNotice, end: IncarnationEnd) {
+        self.lose_incarnation(end);
+        self.begin_incarnation(notice);
+    }
+
+    /// Handles a list of an incarnation that has the same name as the current one.
+    pub(super) fn handle_list_of_other(&mut self, list: &RunList) {
+        let Some(incarnation) = &self.incarnation else {
+            return;
+        };
+        let current = &incarnation.notice;
+        let announced = self.successor.take().filter(|notice| notice.worker == current.worker && notice.born == list.born);
+        let is_announced = announced.is_some();
+        let unannounced = || WorkerNotice { born: list.born, is_ready: false, sequence: 0, ..current.clone() };
+        let notice = announced.unwrap_or_else(unannounced);
+        self.replace_incarnation(notice, IncarnationEnd::LATER_LIST);
+        if let Some(incarnation) = &mut self.incarnation {
+            incarnation.is_announced = is_announced;
+        }
+    }
+
+    fn begin_incarnation(&mut self, notice: WorkerNotice) {
+        // The higher token makes the new incarnation reject calls to an earlier one of the same name that are still in
+        // transit.
+        self.fencing_token += 1;
+        self.log_worker_found(&notice);
+        self.incarnation_number += 1;
+        if self.former.as_ref().is_some_and(|(worker, born)| *worker == notice.worker && *born == notice.born) {
+            self.former = None;
+        }
+        self.incarnation = Some(WorkerIncarnation::new(notice));
+        self.successor = None;
+        self.polls = PollState::default();
+    }
+
+    fn log_worker_found(&mut self, notice: &WorkerNotice) {
+        let WorkerNotice { worker, born, is_ready, sequence, .. } = notice;
+        let lost = self.lost_incarnation.as_ref();
+        let is_same = lost.is_some_and(|lost| lost.worker == *worker && lost.born == *born);
+        let lost_ms = lost.map_or_else(|| "none".to_owned(), |lost| self.now.since(lost.lost_at).as_millis().to_string());
+        self.log(format!(
+            "event=worker_found worker={worker} born={born} ready={is_ready} heartbeat={sequence} same={is_same} lost_ms={lost_ms}"
+        ));
+    }
+
+    /// Stops calling the worker's incarnation. Its runs are stopped if it is found again, and otherwise end as the module's
+    /// documentation says.
+    pub(super) fn lose_incarnation(&mut self, end: IncarnationEnd) {
+        let Some(incarnation) = self.incarnation.take() else {
+            return;
+        };
+        let WorkerNotice { worker, born, .. } = incarnation.notice;
+        let lease_left = self.worker_lease_left().as_millis();
+        self.log(format!(
+            "event=worker_lost worker={worker} born={born} cause={} runs={} sign={} answer_age_ms={} lease_left_ms={lease_left}",
+            end.cause,
+            self.runs.len(),
+            end.sign,
+            self.now.since(self.worker_answered_at).as_millis(),
+        ));
+        self.lost_incarnation = Some(LostIncarnation { worker: worker.clone(), born, lost_at: self.now });
+        self.incarnation_number += 1;
+        let queued = self.runs.select(|record| record.state == RunState::Queued);
+        queued.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Closed, EndSign::NeverSent));
+        if self.runs.has_runs_at_worker() {
+            self.former.get_or_insert((worker, born));
+        }
+        let now = self.now;
+        self.runs.iter_mut().for_each(|(_, record)| record.request_stop_again(now));
+        if let Some(successor) = self.successor.take() {
+            self.begin_incarnation(successor);
+        }
+    }
+
+    /// Ends the runs of a former incarnation after the current one has returned a list. If both have the same name, the current one may
+    /// run what the former has not listed, or what was started by a call that is still in transit. These runs are stopped there first.
+    pub(super) fn end_former_runs(&mut self) {
+        let (Some((worker, _)), Some(incarnation)) = (self.former.take(), &self.incarnation) else {
+            return;
+        };
+        let has_same_name = incarnation.notice.worker == worker;
+        let has_ended = |record: &RunRecord| !has_same_name || (record.is_listed && record.open_calls == 0);
+        let ended = self.runs.select(has_ended);
+        ended.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost, EndSign::LaterList));
+    }
+
+    /// Handles a deregistration. The worker ends only after it has received the answer, so its runs go on until a list or the end of
+    /// their lease shows otherwise.
+    pub(super) fn handle_deregistration(&mut self, worker: &SmolStr) {
+        let Some(incarnation) = self.incarnation.as_mut().filter(|incarnation| incarnation.notice.worker == *worker) else {
+            return;
+        };
+        incarnation.is_leaving = true;
+        let runs = self.runs.len();
+        self.log(format!("event=worker_leaving worker={worker} runs={runs}"));
+    }
+
+    /// Stops calling a worker that has deregistered once it runs nothing.
+    pub(super) fn finish_leaving(&mut self) {
+        if self.incarnation.as_ref().is_some_and(|incarnation| incarnation.is_leaving) && !self.runs.has_runs_at_worker() {
+            self.lose_incarnation(IncarnationEnd::DEREGISTRATION);
+        }
+    }
+}
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -7,7 +7,8 @@
 use vanillacleat_core::run_frames::{EndEvidence, EndSign, RunOutcome};
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::{IncarnationEnd, RunnerControl};
+use super::incarnations::IncarnationEnd;
+use super::RunnerControl;
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
 use crate::agent::run_table::{RunState, StopCause};
 
@@ -27,7 +28,7 @@
 /// Maximum number of polls without a reply, including those that count as lost.
 const PENDING_POLLS_MAX: usize = 12;
 /// Delay before the next poll after an unanswered one.
-const POLL_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(super) const POLL_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The lease polls of one worker incarnation. Usually one poll is pending, and more while calls are lost.
 #[derive(Debug, Default)]
@@ -40,12 +41,23 @@
     pub lossy_until: MonoTime,
     /// The earliest time of the next poll.
     pub due_at: MonoTime,
-    /// When the last call was sent that extends the worker's lease if the worker receives it.
-    pub lease_extended_at: MonoTime,
     /// Number of consecutive polls that were not answered.
     pub failures: u32,
     /// When the poll was sent that returned the last list of runs.
     pub list_sent_at: Option<MonoTime>,
+    /// The last poll of another incarnation.
+    pub probe: Option<Probe>,
+}
+
+/// A lease poll that asks whether another incarnation is at the worker's address. It renews no lease.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Probe {
+    /// Number of the poll.
+    pub number: u64,
+    /// Whether its reply has not been received.
+    pub is_pending: bool,
+    /// The earliest time of the next one.
+    pub retry_at: MonoTime,
 }
 
 /// A lease poll without a reply.
@@ -62,7 +74,7 @@
     /// running something that this agent doesn't know), it may be running something that this agent started, or an end
     /// has to be acknowledged.
     pub(super) fn poll_lease(&mut self) {
-        self.abandon_silent_worker();
+        self.end_lapsed_runs();
         let Some(incarnation) = &self.incarnation else {
             return;
         };
@@ -85,7 +97,7 @@
         };
         let observed = incarnation.observed;
         if is_renewing {
-            self.polls.lease_extended_at = self.now;
+            self.lease_extended_at = self.now;
         }
         self.polls.last_number += 1;
         let number = self.polls.last_number;
@@ -93,12 +105,13 @@
         self.call_worker(WorkerCall::LeasePoll { number, lease_end, observed, wait });
     }
 
-    /// Ends all runs of a worker that does not answer polls, once its lease must have ended. A worker stops all runs by
-    /// itself when its lease ends.
-    fn abandon_silent_worker(&mut self) {
+    /// Ends all runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended. A
+    /// worker stops all runs by itself when its lease ends.
+    fn end_lapsed_runs(&mut self) {
         let terms = &self.options.lease_terms;
         let lapse_timeout = terms.worker_lease + terms.worker_lease / 20 + terms.stop_timeout * 2;
-        if self.polls.failures == 0 || !self.runs.has_runs_at_worker() || self.now.since(self.polls.lease_extended_at) < lapse_timeout {
+        let is_answering = self.incarnation.is_some() && self.polls.failures == 0;
+        if is_answering || !self.runs.has_runs_at_worker() || self.now.since(self.lease_extended_at) < lapse_timeout {
             return;
         }
         let evidence = self.evidence(EndSign::WorkerSilent);
@@ -106,6 +119,7 @@
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.is_settled = false;
         }
+        self.former = None;
         self.finish_all_runs(RunOutcome::Lost, EndSign::WorkerSilent);
     }
 
@@ -116,7 +130,7 @@
         match reply {
             LeasePollReply::Runs(list) => self.handle_run_list(sent_at, &list),
             LeasePollReply::Fenced => self.raise_fencing_token(),
-            LeasePollReply::OtherIncarnation => self.end_incarnation(IncarnationEnd::POLL_MISDIRECTED),
+            LeasePollReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::POLL_MISDIRECTED),
             LeasePollReply::Unanswered => {
                 self.polls.failures += 1;
                 self.polls.due_at = self.now + POLL_RETRY_DELAY;
@@ -126,13 +140,14 @@
 
     fn handle_run_list(&mut self, sent_at: MonoTime, list: &RunList) {
         self.polls.failures = 0;
+        if self.incarnation.as_ref().is_some_and(|incarnation| list.born != 0 && list.born != incarnation.notice.born) {
+            return self.handle_list_of_other(list);
+        }
+        self.end_former_runs();
         self.record_clock(list.clock);
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
-        if list.born > incarnation.notice.born {
-            return self.end_incarnation(IncarnationEnd::LATER_LIST);
-        }
         self.polls.list_sent_at = Some(sent_at);
         incarnation.acknowledged = incarnation.observed;
         let new_ends: Vec<_> = list.ended.iter().filter(|end| end.number > incarnation.observed).copied().collect();
@@ -158,6 +173,7 @@
                 }
                 continue;
             };
+            record.is_listed = true;
             if matches!(record.state, RunState::Starting { .. } | RunState::Running { .. }) {
                 record.confirmed_at.get_or_insert(listed_at);
                 record.state = RunState::Running { percent: task.percent, listed_at };
@@ -206,6 +222,6 @@
     /// Returns the maximum time until the worker's lease ends, if the worker received the last call that extends it.
     pub(super) fn worker_lease_left(&self) -> Duration {
         let lease = self.options.lease_terms.worker_lease;
-        (lease + lease / 20).saturating_sub(self.now.since(self.polls.lease_extended_at))
+        (lease + lease / 20).saturating_sub(self.now.since(self.lease_extended_at))
     }
 }
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -8,10 +8,12 @@
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 
+use super::incarnations::IncarnationEnd;
 use super::lease_polls::LOSSY_INTERVAL;
-use super::{IncarnationEnd, RunnerAction, RunnerControl};
+use super::{RunnerAction, RunnerControl};
 use crate::agent::calls::{StartRejection, StartReply, StopReply, WorkerCall};
 use crate::agent::run_table::{RunRecord, RunState, StopCause};
+use crate::agent::worker_incarnation::WorkerIncarnation;
 
 /// Time without an answer after which a start counts as overdue. A worker on the same host usually answers in about a
 /// millisecond.
@@ -79,6 +81,8 @@
             confirmed_at: None,
             stop_cause: None,
             stop_calls: 0,
+            open_calls: 0,
+            is_listed: false,
         };
         if self.runs.add(start.run, record) && !may_start {
             self.finish_run(&start.run, RunOutcome::Closed, EndSign::NeverSent);
@@ -87,7 +91,8 @@
 
     /// Returns whether runs may start at the worker now.
     pub(super) fn accepts_starts(&self) -> bool {
-        let is_ready = self.incarnation.as_ref().is_some_and(|incarnation| incarnation.is_settled && incarnation.notice.is_ready);
+        let can_start = |incarnation: &WorkerIncarnation| incarnation.is_settled && incarnation.notice.is_ready && !incarnation.is_leaving;
+        let is_ready = self.incarnation.as_ref().is_some_and(can_start);
         let is_in_service = self.drain_started_at.is_none() && !self.plan.zones_out.contains(&self.options.zone);
         is_ready && is_in_service && !self.has_overdue_start()
     }
@@ -135,8 +140,9 @@
         }
         record.state = RunState::Starting { tries: 1, retry_at: now + RETRY_INTERVAL };
         record.started_at = now;
+        record.open_calls = 1;
         let payload = record.payload.clone();
-        self.polls.lease_extended_at = now;
+        self.lease_extended_at = now;
         self.log_start_call("run_started", run, lease_end);
         self.call_worker(WorkerCall::Start { run: *run, payload, lease_end });
     }
@@ -179,12 +185,13 @@
                 continue;
             }
             (*tries, *retry_at) = (*tries + 1, now + RETRY_INTERVAL);
+            record.open_calls += 1;
             due.push((*run, record.payload.clone()));
         }
         for (run, payload) in due {
             let lease_end =
                 self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(now, self.options.lease_terms.worker_lease));
-            self.polls.lease_extended_at = now;
+            self.lease_extended_at = now;
             self.polls.lossy_until = now + LOSSY_INTERVAL;
             self.log_start_call("start_repeated", &run, lease_end);
             self.call_worker(WorkerCall::Start { run, payload, lease_end });
@@ -192,6 +199,9 @@
     }
 
     pub(super) fn handle_start_reply(&mut self, run: RunId, reply: StartReply) {
+        if let Some(record) = self.runs.get_mut(&run).filter(|_| reply != StartReply::Unanswered) {
+            record.open_calls = record.open_calls.saturating_sub(1);
+        }
         match reply {
             StartReply::Started(clock) => {
                 self.record_clock(clock);
@@ -207,7 +217,7 @@
                 self.handle_rejection(&run, rejection);
             }
             StartReply::Shed if self.is_first_start_call(&run) => self.finish_run(&run, RunOutcome::Shed, EndSign::Rejected),
-            StartReply::OtherIncarnation => self.end_incarnation(IncarnationEnd::START_MISDIRECTED),
+            StartReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::START_MISDIRECTED),
             // The start is sent again or abandoned by `retry_starts`.
             StartReply::Shed | StartReply::Unanswered => {}
         }
@@ -277,7 +287,7 @@
             StopReply::Fenced => self.raise_fencing_token(),
             // The stop is sent again by `send_stops`.
             StopReply::Unanswered => {}
-            StopReply::OtherIncarnation => self.end_incarnation(IncarnationEnd::STOP_MISDIRECTED),
+            StopReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::STOP_MISDIRECTED),
         }
     }
 
--- a/crates/runs/src/agent/worker_incarnation.rs
+++ b/crates/runs/src/agent/worker_incarnation.rs
@@ -43,12 +43,24 @@
     /// Whether a list of runs has shown that the worker is running nothing that this agent doesn't know, such as runs of
     /// an earlier agent. No run starts before that.
     pub is_settled: bool,
+    /// Whether a heartbeat was received. Until then only a list has shown the incarnation.
+    pub is_announced: bool,
+    /// Whether the worker has deregistered and sent no heartbeat since.
+    pub is_leaving: bool,
 }
 
 impl WorkerIncarnation {
     /// Returns an incarnation of which only a heartbeat is known.
     pub fn new(notice: WorkerNotice) -> Self {
-        Self { notice, clock: RemoteClock::default(), observed: 0, acknowledged: 0, is_settled: false }
+        Self {
+            notice,
+            clock: RemoteClock::default(),
+            observed: 0,
+            acknowledged: 0,
+            is_settled: false,
+            is_announced: true,
+            is_leaving: false,
+        }
     }
 
     /// Returns whether a heartbeat comes from this incarnation.
@@ -58,16 +70,19 @@
 
     /// Applies a heartbeat of this incarnation. One that arrives after a later heartbeat is ignored.
     pub fn update(&mut self, notice: WorkerNotice) {
-        if notice.sequence >= self.notice.sequence {
-            // A worker that is draining never becomes ready again within the same incarnation.
-            let is_ready = notice.is_ready && self.notice.is_ready;
-            self.notice = WorkerNotice { is_ready, ..notice };
+        if notice.sequence < self.notice.sequence {
+            return;
         }
+        self.is_leaving &= notice.sequence == self.notice.sequence;
+        // A worker that is draining never becomes ready again within the same incarnation.
+        let is_ready = notice.is_ready && (self.notice.is_ready || !self.is_announced);
+        self.is_announced = true;
+        self.notice = WorkerNotice { is_ready, ..notice };
     }
 
     /// Returns the worker's information for reports to entries. The worker is reported as ready only once it is settled.
     pub fn worker_info(&self) -> WorkerInfo {
         let WorkerNotice { worker, service, capacity, labels, is_ready, cold, .. } = self.notice.clone();
-        WorkerInfo { worker, service, capacity, labels, is_ready: is_ready && self.is_settled, cold }
+        WorkerInfo { worker, service, capacity, labels, is_ready: is_ready && self.is_settled && !self.is_leaving, cold }
     }
 }
--- a/crates/runs/tests/worker_calls.rs
+++ b/crates/runs/tests/worker_calls.rs
@@ -103,7 +103,7 @@
     fn last_poll(&self) -> u64 {
         let numbers =
             self.calls.iter().filter_map(|call| if let WorkerCall::LeasePoll { number, .. } = call { Some(*number) } else { None });
-        numbers.max().expect("a lease poll was sent")
+        numbers.last().expect("a lease poll was sent")
     }
 
     /// Returns the number of start calls.
@@ -215,9 +215,17 @@
     harness.order_start(10);
     harness.answer_start(12, StartReply::Started(50_012));
     harness.deliver(14, RunnerEvent::WorkerHeartbeat(notice(2)));
+    let list = RunList { born: 2, clock: 60_020, running: Vec::new(), ended: Vec::new() };
+    // The new incarnation confirms its heartbeat.
+    harness.deliver(
+        15,
+        RunnerEvent::Replied {
+            incarnation_number: harness.incarnation,
+            reply: WorkerReply::LeasePoll(harness.last_poll(), LeasePollReply::Runs(list.clone())),
+        },
+    );
     let stop = WorkerReply::Stop(RUN, StopReply::Accepted(60_000));
     harness.deliver(16, RunnerEvent::Replied { incarnation_number: harness.incarnation, reply: stop });
-    let list = RunList { born: 2, clock: 60_020, running: Vec::new(), ended: Vec::new() };
     harness.deliver(
         17,
         RunnerEvent::Replied {
