--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::units::Millis;
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
 use vanillacleat_runs::entry::DispatchEvent;
@@ -63,6 +63,27 @@
     assert_eq!(site.double_runs(), vec![]);
 }
 
+// Guards against the second session of the test above: a dial that is open when its entry is deselected and selected again.
+#[test]
+fn entry_is_not_dialed_again_while_a_dial_is_open() {
+    let record = |number: u64, millicores: u64| EntryRecord {
+        address: SmolStr::new(format!("entry-{number}")),
+        zone: Some("zone-0".parse().expect("a valid name")),
+        millicores,
+    };
+    let others = |millicores: u64| (3..40).map(move |number| record(number, millicores));
+    let mut bench = AgentBench::settled(1);
+    let dials = |bench: &AgentBench| bench.dials.iter().filter(|address| *address == "entry-1").count();
+    bench.advance(100);
+    assert_eq!(dials(&bench), 1);
+    // The records of larger entries are read, and then they are replaced by smaller ones.
+    bench.deliver(RunnerEvent::EntriesRead(others(1_000_000).chain([record(1, 1)]).collect()));
+    bench.advance(200);
+    bench.deliver(RunnerEvent::EntriesRead(others(1).chain([record(1, 1_000_000)]).collect()));
+    bench.advance(600);
+    assert_eq!(dials(&bench), 1, "the first dial has neither succeeded nor failed");
+}
+
 // Guards against an order that arrives on a session that the agent has closed, after the hello of the next one.
 #[test]
 fn order_on_a_closed_session_starts_nothing() {
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -79,6 +79,8 @@
     pub hellos: Vec<(SessionId, RunHello)>,
     /// All frames that were sent, for a test to deliver to an entry.
     pub sent_frames: Vec<(SessionId, RunFrame)>,
+    /// The addresses that the agent dialed.
+    pub dials: Vec<SmolStr>,
     /// The sessions that the agent closed, for a test to close at an entry.
     pub closed_sessions: Vec<SessionId>,
     /// The log lines, with their times.
@@ -129,6 +131,7 @@
             ends: Vec::new(),
             hellos: Vec::new(),
             sent_frames: Vec::new(),
+            dials: Vec::new(),
             closed_sessions: Vec::new(),
             log_lines: Vec::new(),
             is_drained: false,
@@ -206,6 +209,7 @@
                 }
                 RunnerAction::Send { session, frame: RunFrame::Hello(hello) } => self.hellos.push((session, hello)),
                 RunnerAction::Log(line) => self.log_lines.push((self.now, line)),
+                RunnerAction::Dial(address) => self.dials.push(address),
                 RunnerAction::Close(session) => self.closed_sessions.push(session),
                 RunnerAction::Drained => self.is_drained = true,
                 _ => {}
