--- a/crates/runs/tests/worker_loss.rs
+++ b/crates/runs/tests/worker_loss.rs
@@ -122,13 +122,24 @@
     assert_eq!(bench.outlived(), vec![]);
 }
 
-// Guards against runs reported as lost because one call was answered as misdirected while the worker goes on.
+// Guards against runs reported as lost because a poll was answered as misdirected while the worker goes on.
 #[test]
 fn misdirected_poll_ends_no_listed_run() {
     let mut bench = bench_with_listed_runs();
-    let number = 1_000;
     let sent = bench.last_sent();
+    let WorkerCall::LeasePoll { number, .. } = sent.call else {
+        panic!("the last call is the poll that is pending");
+    };
     bench.reply(&sent, WorkerReply::LeasePoll(number, LeasePollReply::OtherIncarnation));
+    bench.advance(1_200);
+    assert_eq!(bench.outlived(), vec![]);
+}
+
+// Guards against runs reported as lost because the stop of another run was answered as misdirected.
+#[test]
+fn misdirected_stop_ends_no_listed_run() {
+    let mut bench = bench_with_listed_runs();
+    let sent = bench.last_sent();
     bench.reply(&sent, WorkerReply::Stop(run(5, 1), StopReply::OtherIncarnation));
     bench.advance(1_200);
     assert_eq!(bench.outlived(), vec![]);
