Log disconnected callers, runs that are listed although they count as ended, and count ends by evidence

Cause: a caller's disconnect, a report on a replaced session and a listed end of an unknown run left no line. The lease left in the evidence was reset with the poll state, so that it was zero just after a worker was found again.

Change: new lines caller_disconnected (with the runs that are stopped, and those whose agents can't be reached), request_withdrawn, report_ignored and ends_unknown; strangers_stopped lists the runs. The lease left counts from the last call that extends it, in whichever incarnation. Counters runs_ended_total{outcome,evidence} at the agent and runs_placed_again_total{outcome,evidence} at the entry. No decision changes.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -208,6 +208,20 @@
 }
 
 impl RunOutcome {
+    /// Returns the name that is used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lost => "lost",
+            Self::NoRoom => "no_room",
+            Self::Shed => "shed",
+            Self::Unanswered => "unanswered",
+            Self::Closed => "closed",
+        }
+    }
+
     /// Returns whether the worker may have done a part of the task's work.
     pub fn has_run(self) -> bool {
         matches!(self, Self::Done | Self::Failed | Self::Stopped | Self::Lost)
--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -141,6 +141,9 @@
                 });
             }
             RunnerAction::Log(line) => log::info!("{line}"),
+            RunnerAction::EndRecorded { outcome, sign } => {
+                metrics::counter!("runs_ended_total", "outcome" => outcome.as_str(), "evidence" => sign.as_str()).increment(1);
+            }
             RunnerAction::Drained => {}
         }
     }
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -139,6 +139,10 @@
         Measurement::Placed { priority, after } => {
             (metrics::histogram!("runs_placement_wait_seconds", "priority" => priority.to_string()), after)
         }
+        Measurement::PlacedAgain { outcome, sign } => {
+            metrics::counter!("runs_placed_again_total", "outcome" => outcome.as_str(), "evidence" => sign.as_str()).increment(1);
+            return;
+        }
         Measurement::Answered { priority, kind, after } => {
             (metrics::histogram!("runs_response_seconds", "priority" => priority.to_string(), "kind" => kind), after)
         }
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -23,6 +23,7 @@
 use super::run_table::{RunRecord, RunState, RunTable};
 use super::session_lease::SessionLease;
 use super::worker_incarnation::{WorkerIncarnation, WorkerNotice};
+use crate::log_fields::format_age;
 use crate::LeaseTerms;
 
 /// Increment of a fencing token that the worker rejected as too low. Tokens are taken from the wall clock in
@@ -120,6 +121,13 @@
     },
     /// Writes a log line of key=value pairs.
     Log(String),
+    /// Counts the end of a run in a metric.
+    EndRecorded {
+        /// The outcome of the run.
+        outcome: RunOutcome,
+        /// What showed the end.
+        sign: EndSign,
+    },
     /// The agent has drained, and the process may exit.
     Drained,
 }
@@ -170,6 +178,8 @@
     rng: ChaCha8Rng,
     plan: SitePlan,
     polls: lease_polls::PollState,
+    /// When the last call was sent that extends the lease of the worker's incarnation at that time, for the log.
+    lease_requested_at: Option<MonoTime>,
     /// When the worker last answered a call.
     worker_answered_at: MonoTime,
     drain_started_at: Option<MonoTime>,
@@ -192,6 +202,7 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             polls: lease_polls::PollState::default(),
+            lease_requested_at: None,
             worker_answered_at: MonoTime::ZERO,
             drain_started_at: None,
             actions: Vec::new(),
@@ -279,7 +290,7 @@
         let WorkerNotice { worker, born, is_ready, sequence, .. } = notice;
         let lost = self.lost_incarnation.as_ref();
         let is_same = lost.is_some_and(|lost| lost.worker == *worker && lost.born == *born);
-        let lost_ms = lost.map_or_else(|| "none".to_owned(), |lost| self.now.since(lost.lost_at).as_millis().to_string());
+        let lost_ms = format_age(lost.map(|lost| self.now.since(lost.lost_at)));
         self.log(format!(
             "event=worker_found worker={worker} born={born} ready={is_ready} heartbeat={sequence} same={is_same} lost_ms={lost_ms}"
         ));
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -10,6 +10,7 @@
 use super::{IncarnationEnd, RunnerControl};
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
 use crate::agent::run_table::{RunState, StopCause};
+use crate::log_fields::format_list;
 
 /// Maximum time that the worker delays its reply to a poll until a run ends. A quarter of the maximum worker lease, so
 /// that the lease is renewed several times before it would end.
@@ -85,7 +86,7 @@
         };
         let observed = incarnation.observed;
         if is_renewing {
-            self.polls.lease_extended_at = self.now;
+            self.record_lease_extension();
         }
         self.polls.last_number += 1;
         let number = self.polls.last_number;
@@ -137,15 +138,25 @@
         incarnation.acknowledged = incarnation.observed;
         let new_ends: Vec<_> = list.ended.iter().filter(|end| end.number > incarnation.observed).copied().collect();
         incarnation.observed = new_ends.iter().map(|end| end.number).fold(incarnation.observed, u64::max);
-        for end in new_ends {
-            if let Some(run) = end.run {
-                self.finish_run(&run, end.outcome, EndSign::Listed);
-            }
+        let ends: Vec<(RunId, RunOutcome)> = new_ends.iter().filter_map(|end| Some((end.run?, end.outcome))).collect();
+        self.log_unknown_ends(&ends);
+        for (run, outcome) in ends {
+            self.finish_run(&run, outcome, EndSign::Listed);
         }
         self.handle_running(sent_at, list);
         self.finish_unlisted(sent_at, list);
     }
 
+    /// Logs the listed ends of runs that are not in the table: they count as ended already, or an earlier agent started
+    /// them.
+    fn log_unknown_ends(&mut self, ends: &[(RunId, RunOutcome)]) {
+        let unknown: Vec<String> =
+            ends.iter().filter(|(run, _)| self.runs.get(run).is_none()).map(|(run, outcome)| format!("{run}:{outcome:?}")).collect();
+        if !unknown.is_empty() {
+            self.log(format!("event=ends_unknown runs={} ends={}", unknown.len(), format_list(&unknown)));
+        }
+    }
+
     /// Updates the runs that the worker lists as running, and stops listed runs that are not in the table. Once the
     /// list contains none of these, the worker is settled.
     fn handle_running(&mut self, sent_at: MonoTime, list: &RunList) {
@@ -170,7 +181,8 @@
             }
             return;
         }
-        self.log(format!("event=strangers_stopped runs={} first={}", unknown_runs.len(), unknown_runs[0]));
+        let (count, listed) = (unknown_runs.len(), format_list(&unknown_runs));
+        self.log(format!("event=strangers_stopped runs={count} first={} listed={listed}", unknown_runs[0]));
         unknown_runs.into_iter().for_each(|run| self.call_worker(WorkerCall::Stop { run }));
         self.polls.due_at = self.now + SHORT_POLL_WAIT;
     }
@@ -203,9 +215,16 @@
         EndEvidence { sign, age, lease_left: Millis::from_duration(self.worker_lease_left()) }
     }
 
-    /// Returns the maximum time until the worker's lease ends, if the worker received the last call that extends it.
-    pub(super) fn worker_lease_left(&self) -> Duration {
+    /// Records that a call is sent which extends the worker's lease if the worker receives it.
+    pub(super) fn record_lease_extension(&mut self) {
+        self.polls.lease_extended_at = self.now;
+        self.lease_requested_at = Some(self.now);
+    }
+
+    /// Returns the maximum time until the worker's lease ends, whichever incarnation received the last call that extends it.
+    /// Zero before the first such call.
+    fn worker_lease_left(&self) -> Duration {
         let lease = self.options.lease_terms.worker_lease;
-        (lease + lease / 20).saturating_sub(self.now.since(self.polls.lease_extended_at))
+        self.lease_requested_at.map_or(Duration::ZERO, |at| (lease + lease / 20).saturating_sub(self.now.since(at)))
     }
 }
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -12,6 +12,7 @@
 use super::{IncarnationEnd, RunnerAction, RunnerControl};
 use crate::agent::calls::{StartRejection, StartReply, StopReply, WorkerCall};
 use crate::agent::run_table::{RunRecord, RunState, StopCause};
+use crate::log_fields::format_age;
 
 /// Time without an answer after which a start counts as overdue. A worker on the same host usually answers in about a
 /// millisecond.
@@ -136,7 +137,7 @@
         record.state = RunState::Starting { tries: 1, retry_at: now + RETRY_INTERVAL };
         record.started_at = now;
         let payload = record.payload.clone();
-        self.polls.lease_extended_at = now;
+        self.record_lease_extension();
         self.log_start_call("run_started", run, lease_end);
         self.call_worker(WorkerCall::Start { run: *run, payload, lease_end });
     }
@@ -157,7 +158,7 @@
             now.since(record.leased_from).as_millis(),
             now.since(record.ordered_at).as_millis(),
             session_left.as_millis(),
-            clock_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
+            format_age(clock_age)
         );
         self.log(line);
     }
@@ -184,7 +185,7 @@
         for (run, payload) in due {
             let lease_end =
                 self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(now, self.options.lease_terms.worker_lease));
-            self.polls.lease_extended_at = now;
+            self.record_lease_extension();
             self.polls.lossy_until = now + LOSSY_INTERVAL;
             self.log_start_call("start_repeated", &run, lease_end);
             self.call_worker(WorkerCall::Start { run, payload, lease_end });
@@ -288,6 +289,7 @@
         };
         let ran = Millis::from_duration(record.elapsed_since_start(self.now));
         let evidence = self.evidence(if record.state == RunState::Queued { EndSign::NeverSent } else { sign });
+        self.actions.push(RunnerAction::EndRecorded { outcome, sign: evidence.sign });
         self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran} {evidence}", record.entry));
         let lease = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
         if let Some(lease) = lease {
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -10,6 +10,7 @@
 use super::{RunnerAction, RunnerControl};
 use crate::agent::run_table::StopCause;
 use crate::agent::session_lease::SessionLease;
+use crate::log_fields::format_age;
 
 /// Interval between two reports that need an answer, on a session whose entry has runs here. It is about a third of the
 /// session's lease, so that renewals overlap.
@@ -67,7 +68,7 @@
             lease.address,
             runs.len(),
             lease.time_left(self.now).as_millis(),
-            format_age(self.now, lease.received_at)
+            format_age(lease.received_at.map(|at| self.now.since(at)))
         ));
         for run in runs {
             if let Some(record) = self.runs.get_mut(&run) {
@@ -99,8 +100,8 @@
                     lease.address,
                     runs.len(),
                     lease.time_since_end(now).as_millis(),
-                    format_age(now, lease.asked_at),
-                    format_age(now, lease.received_at)
+                    format_age(lease.asked_at.map(|at| now.since(at))),
+                    format_age(lease.received_at.map(|at| now.since(at)))
                 ));
             }
             runs.iter().for_each(|run| self.stop_run(run, StopCause::LeaseLapsed));
@@ -193,11 +194,6 @@
     }
 }
 
-/// Returns the age of `at` in milliseconds, or `none`.
-pub(super) fn format_age(now: MonoTime, at: Option<MonoTime>) -> String {
-    at.map_or_else(|| "none".to_owned(), |at| now.since(at).as_millis().to_string())
-}
-
 /// Returns whether entries should learn at once that other entries' use of a worker has changed from `before` to `after`, while
 /// all entries use `used` of its `capacity`, all in millicores.
 fn is_significant(capacity: u64, before: u64, after: u64, used: u64) -> bool {
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -11,7 +11,7 @@
 use serde_json::{json, Value};
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::ids::{AgentId, ZoneName};
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunOrders};
+use vanillacleat_core::run_frames::{EndSign, EntryRecord, OrderFrame, RunFrame, RunOrders, RunOutcome};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
 
@@ -100,13 +100,13 @@
     Close(SessionId),
     /// Writes a log line of key=value pairs.
     Log(String),
-    /// Records a duration in a histogram.
+    /// Records a value in a metric.
     Measured(Measurement),
     /// The entry has drained and may exit.
     Drained,
 }
 
-/// A duration that operators see in a histogram.
+/// A value that operators see in a metric.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Measurement {
     /// The first task of a job was sent to a worker.
@@ -116,6 +116,13 @@
         /// The time since the job arrived.
         after: Duration,
     },
+    /// A task was sent to a worker again, after an earlier run of it had ended.
+    PlacedAgain {
+        /// The outcome of the earlier run.
+        outcome: RunOutcome,
+        /// What showed the end of the earlier run.
+        sign: EndSign,
+    },
     /// An admitted job was answered.
     Answered {
         /// The priority of the job's route.
@@ -196,8 +203,7 @@
             self.load.record_lag(now, lag);
         }
         self.now = self.now.max(now);
-        let (mut requests, others): (Vec<_>, Vec<_>) =
-            events.into_iter().partition(|event| matches!(event, DispatchEvent::Requested { .. }));
+        let (requests, others): (Vec<_>, Vec<_>) = events.into_iter().partition(|event| matches!(event, DispatchEvent::Requested { .. }));
         // A caller may have disconnected since it sent its request.
         let is_disconnected = |request: &DispatchEvent| {
             let DispatchEvent::Requested { reply, .. } = request else {
@@ -205,7 +211,8 @@
             };
             others.iter().any(|event| matches!(event, DispatchEvent::CallerDisconnected(other) if other == reply))
         };
-        requests.retain(|request| !is_disconnected(request));
+        let (withdrawn, requests): (Vec<_>, Vec<_>) = requests.into_iter().partition(is_disconnected);
+        self.log_withdrawn(&withdrawn);
         others.into_iter().for_each(|event| self.handle_event(event));
         if self.now >= self.next_maintenance_at {
             self.next_maintenance_at = self.now + MAINTENANCE_INTERVAL;
@@ -222,10 +229,7 @@
     fn handle_event(&mut self, event: DispatchEvent) {
         match event {
             DispatchEvent::Requested { reply, request } => self.handle_request(reply, request),
-            DispatchEvent::CallerDisconnected(reply) => {
-                let effects = self.job_table.remove_waiter(reply);
-                self.apply_effects(effects);
-            }
+            DispatchEvent::CallerDisconnected(reply) => self.handle_disconnected_caller(reply),
             DispatchEvent::Frame { session, frame } => self.handle_frame(session, frame),
             DispatchEvent::SessionClosed(session) => self.handle_lost_session(session, "broken"),
             DispatchEvent::PlanRead(plan) => self.handle_plan(&plan, "platform"),
@@ -235,6 +239,14 @@
         }
     }
 
+    fn log_withdrawn(&mut self, withdrawn: &[DispatchEvent]) {
+        for event in withdrawn {
+            if let DispatchEvent::Requested { request, .. } = event {
+                self.log(format!("event=request_withdrawn host={} path={}", request.host, request.path));
+            }
+        }
+    }
+
     /// Records how many reports are late. Reports that waited while this process was stalled don't count.
     fn record_delayed_reports(&mut self) {
         let has_settled = self.now.since(self.resumed_at) >= RESUME_GRACE;
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -5,6 +5,7 @@
 
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId};
+use vanillacleat_core::ids::AgentId;
 use vanillacleat_core::site_plan::RouteRule;
 
 use super::{DispatchAction, DispatchControl, Measurement};
@@ -12,6 +13,7 @@
 use crate::entry::job_order::resubmit_delay;
 use crate::entry::job_table::JobEffect;
 use crate::entry::open_job::OpenJob;
+use crate::log_fields::format_list;
 
 /// Delay after which a caller should retry if the entry has no configuration yet or is about to exit.
 const RETRY_AFTER_UNREADY: Duration = Duration::from_secs(1);
@@ -93,6 +95,28 @@
         self.job_table.submit(open_job, reply);
     }
 
+    /// Removes a caller that disconnected before it was answered, and stops its job if no other caller waits for it.
+    pub(super) fn handle_disconnected_caller(&mut self, reply: ReplyId) {
+        let Some(id) = self.job_table.awaited_job(reply) else {
+            return;
+        };
+        let effects = self.job_table.remove_waiter(reply);
+        let waiters = self.job_table.get(&id).map_or(0, |job| job.waiters.len());
+        let stops = effects.iter().filter_map(|effect| match effect {
+            JobEffect::Stop { agent, run } => Some((agent, run)),
+            JobEffect::Answer { .. } => None,
+        });
+        // No stop is sent to an agent without a session: it stops the runs of a lost session by itself.
+        let is_reachable = |agent: &AgentId| self.worker_registry.get(agent).is_some_and(|worker| worker.session.is_some());
+        let (reachable, unreachable): (Vec<_>, Vec<_>) = stops.partition(|(agent, _)| is_reachable(agent));
+        self.log(format!(
+            "event=caller_disconnected job={id} waiters={waiters} stopped={} unreachable={}",
+            format_list(reachable.into_iter().map(|(_, run)| run)),
+            format_list(unreachable.into_iter().map(|(_, run)| run))
+        ));
+        self.apply_effects(effects);
+    }
+
     fn answer_queue_query(&mut self, reply: ReplyId, route: &Arc<RouteRule>) {
         let queued = self.job_table.jobs().filter(|job| job.route.name == route.name && !job.has_run && !job.has_sent_runs());
         let length = queued.count();
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -11,7 +11,7 @@
 
 use super::{DispatchAction, DispatchControl, Measurement};
 use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
-use crate::entry::open_job::OpenJob;
+use crate::entry::open_job::{FormerRun, OpenJob};
 use crate::entry::worker_registry::CapacityRequest;
 
 impl DispatchControl {
@@ -109,18 +109,20 @@
         self.log_start(&run, agent, session, is_idle);
     }
 
-    /// Logs a start with what its lease rests on and, if it is not the task's first, how the former run ended.
+    /// Logs a start with what its lease rests on and, if it is not the task's first, how the former run ended. Counts the
+    /// latter.
     fn log_start(&mut self, run: &RunId, agent: &AgentId, session: SessionId, is_idle: bool) {
         let report_age = self.worker_registry.get(agent).map_or(Duration::ZERO, |worker| self.now.since(worker.last_received_at));
-        let former = self.job_table.get(&run.task.job).and_then(|job| job.former_run(&run.task)).map(|former| {
-            let ended_ms = self.now.since(former.ended_at).as_millis();
-            format!(" after={:?} ended_ms={ended_ms} {}", former.outcome, former.evidence)
+        let former = self.job_table.get(&run.task.job).and_then(|job| job.former_run(&run.task)).copied();
+        let former_fields = former.map(|FormerRun { outcome, evidence, ended_at }| {
+            self.actions.push(DispatchAction::Measured(Measurement::PlacedAgain { outcome, sign: evidence.sign }));
+            format!(" after={outcome:?} ended_ms={} {evidence}", self.now.since(ended_at).as_millis())
         });
         self.log(format!(
             "event=run_sent run={run} agent={agent} report_age_ms={} leased_from_ms={} idle={is_idle}{}",
             report_age.as_millis(),
             self.worker_registry.lease_start(session),
-            former.unwrap_or_default()
+            former_fields.unwrap_or_default()
         ));
     }
 
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -10,13 +10,11 @@
 use vanillacleat_core::units::Millis;
 
 use super::{DispatchAction, DispatchControl};
+use crate::log_fields::{format_age, format_list};
 
 /// Maximum delay of the renewal of a session's lease. The delay lets the renewal share a frame with orders.
 const ECHO_DELAY_MAX: Duration = Duration::from_millis(40);
 
-/// Maximum number of runs that a log line names.
-const LOGGED_RUNS_MAX: usize = 16;
-
 /// Time without a report after which a session is closed. Agents without runs of this entry report once a second, and close the
 /// session if a report is not answered for a second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -44,8 +42,8 @@
             hello.unsettled.len(),
             hello.plan_version,
             ended_runs.len(),
-            contact_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string()),
-            format_runs(hello.unsettled.iter())
+            format_age(contact_age),
+            format_list(&hello.unsettled)
         ));
         let sign = if is_restarted { EndSign::AgentRestarted } else { EndSign::NotUnsettled };
         let evidence = self.agent_evidence(sign, contact_age);
@@ -81,6 +79,10 @@
 
     fn handle_report(&mut self, session: SessionId, report: &RunReport) {
         let Some(agent) = self.worker_registry.record_report(self.now, session, report) else {
+            if !report.ends.is_empty() {
+                let runs = format_list(report.ends.iter().map(|end| end.run));
+                self.log(format!("event=report_ignored session={session} ends={} runs={runs}", report.ends.len()));
+            }
             return;
         };
         for end in &report.ends {
@@ -212,13 +214,3 @@
         }
     }
 }
-
-/// Returns the ids of the first [`LOGGED_RUNS_MAX`] runs for a log line, or `none`.
-pub(super) fn format_runs<'a>(runs: impl Iterator<Item = &'a RunId>) -> String {
-    let names: Vec<String> = runs.take(LOGGED_RUNS_MAX).map(RunId::to_string).collect();
-    if names.is_empty() {
-        "none".to_owned()
-    } else {
-        names.join(",")
-    }
-}
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -96,6 +96,11 @@
         self.update_ready(&id);
     }
 
+    /// Returns the job that a caller waits for, or `None` if it was answered.
+    pub fn awaited_job(&self, waiter: ReplyId) -> Option<CallerJobId> {
+        self.waiters.get(&waiter).copied()
+    }
+
     /// Removes a caller that has disconnected. Stops its job if no other caller waits for it.
     pub fn remove_waiter(&mut self, waiter: ReplyId) -> Vec<JobEffect> {
         let Some(id) = self.waiters.remove(&waiter) else {
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod agent;
 pub mod entry;
 mod lease_terms;
+mod log_fields;
 mod remote_clock;
 
 pub use lease_terms::LeaseTerms;
--- a/crates/runs/tests/strained_entry.rs
+++ b/crates/runs/tests/strained_entry.rs
@@ -286,7 +286,7 @@
                 let opened = RunnerEvent::SessionOpened { session: session(agent), address };
                 self.agents[agent].inbox.push_back((self.now + 2 * TRANSIT_MS, opened));
             }
-            RunnerAction::Log(_) | RunnerAction::Drained => {}
+            RunnerAction::Log(_) | RunnerAction::EndRecorded { .. } | RunnerAction::Drained => {}
         }
     }
 
--- a/crates/runs/tests/support/simulation.rs
+++ b/crates/runs/tests/support/simulation.rs
@@ -344,7 +344,7 @@
                 self.schedule(delay, SimulationEvent::CallWorker(agent, agent_incarnation, incarnation_number, fencing_token, call));
             }
             RunnerAction::Log(line) => self.log_lines.push(format!("{} agent-{agent} {line}", self.now)),
-            RunnerAction::Drained => {}
+            RunnerAction::EndRecorded { .. } | RunnerAction::Drained => {}
         }
     }
 
