Show in explain what ended a run

Cause: the timeline of a request left out the events that end its runs without naming it.

Change: agent_expired, entry_found, lease_lapsed and stalled count as context.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -8,16 +8,20 @@
 use crate::operators::{CommandError, CommandResult};
 
 /// Events that do not name a request but may explain what happened to it.
-const CONTEXT_EVENTS: [&str; 15] = [
+const CONTEXT_EVENTS: [&str; 19] = [
+    "agent_expired",
     "agent_found",
     "agent_lost",
     "drain_started",
+    "entry_found",
     "entry_lost",
+    "lease_lapsed",
     "load_changed",
     "log_lines_dropped",
     "plan_taken",
     "process_started",
     "slow_workers",
+    "stalled",
     "store_back",
     "store_lost",
     "strangers_stopped",
--- a/crates/cli/tests/request_timeline.rs
+++ b/crates/cli/tests/request_timeline.rs
@@ -60,3 +60,47 @@
     );
     assert_eq!(build_timeline("ab", logs)[1], ".       1 ms entry-1 event=log_lines_dropped count=7");
 }
+
+#[test]
+fn timeline_shows_what_ended_a_run() {
+    let mut logs = lines(
+        "entry-1",
+        &[
+            "unix_ms=1000 event=job_admitted job=ab",
+            "unix_ms=1001 event=run_sent run=ab.0.0.0#1 agent=agent-2 report_age_ms=90 leased_from_ms=910 idle=false",
+            "unix_ms=1400 event=stalled ms=380 phase=waiting events=9",
+            "unix_ms=1401 event=agent_expired agent=agent-2 runs=1 connected=true contact_age_ms=960 resumed_age_ms=1000",
+            "unix_ms=1402 event=caller_disconnected job=ab waiters=0 stopped=ab.0.0.0#1 unreachable=none",
+        ],
+    );
+    logs.extend(lines(
+        "agent-2",
+        &[
+            "unix_ms=1002 event=run_started run=ab.0.0.0#1 entry=10.0.0.1:7260 calls=1",
+            "unix_ms=1200 event=lease_lapsed entry=10.0.0.1:7260 runs=1 late_ms=3",
+            "unix_ms=1200 event=stop_sent run=ab.0.0.0#1 cause=lease_lapsed calls=1",
+            "unix_ms=1300 event=entry_found entry=10.0.0.2:7260 unsettled=0",
+            "unix_ms=1403 event=ends_unknown runs=1 ends=ab.0.0.0#1:Done",
+        ],
+    ));
+    let timeline = build_timeline("ab", logs);
+    let shown: Vec<(&str, &str)> = timeline
+        .iter()
+        .map(|line| (&line[..1], line.split("event=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap_or_default()))
+        .collect();
+    assert_eq!(
+        shown,
+        [
+            ("*", "job_admitted"),
+            ("*", "run_sent"),
+            ("*", "run_started"),
+            (".", "lease_lapsed"),
+            ("*", "stop_sent"),
+            (".", "entry_found"),
+            (".", "stalled"),
+            (".", "agent_expired"),
+            ("*", "caller_disconnected"),
+            ("*", "ends_unknown"),
+        ]
+    );
+}
