Log the signs of other workers that an agent ignores, and its fencing token at its start

Cause: a heartbeat of an earlier incarnation and a deregistration of another worker left no line, and the record of a worker could not be matched with the agent's process.

Change: heartbeat_ignored and deregistration_ignored; agent_started has the incarnation and the fencing token, and counts as context in explain. No decision changes.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -8,10 +8,11 @@
 use crate::operators::{CommandError, CommandResult};
 
 /// Events that do not name a request but may explain what happened to it.
-const CONTEXT_EVENTS: [&str; 19] = [
+const CONTEXT_EVENTS: [&str; 20] = [
     "agent_expired",
     "agent_found",
     "agent_lost",
+    "agent_started",
     "drain_started",
     "entry_found",
     "entry_lost",
--- a/crates/runs-daemon/src/agent_daemon.rs
+++ b/crates/runs-daemon/src/agent_daemon.rs
@@ -61,14 +61,20 @@
         install_metrics();
         let runtime = ProcessRuntime::start("agent-traffic", RUNTIME_THREADS).change_context(DaemonError::Start)?;
         let pause = PauseSwitch::default();
-        let control = RunnerControl::new(make_options(settings));
+        let options = make_options(settings);
+        let (incarnation, fencing_token) = (options.incarnation, options.fencing_token);
+        let control = RunnerControl::new(options);
         let mut agent_loop = AgentLoop::new(control, worker_port, runtime.handle());
         let event_sink = agent_loop.event_sink();
         let step = move |now, input| agent_loop.step(now, input);
         let tick = || AgentInput::Event(RunnerEvent::Tick);
         let (events, thread) = spawn_control_thread("agent-control", pause.clone(), tick, step).change_context(DaemonError::Start)?;
         event_sink.set(events.clone());
-        log::info!("event=agent_started agent={} zone={}", settings.id, settings.zone);
+        log::info!(
+            "event=agent_started agent={} zone={} incarnation={incarnation} fencing_token={fencing_token}",
+            settings.id,
+            settings.zone
+        );
         let port = AgentPort { events: events.clone() };
         let process = ProcessHandle::new(events, || AgentInput::Stop, pause, thread, runtime);
         Ok(Self { port, process })
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -270,7 +270,12 @@
         match &mut self.incarnation {
             Some(incarnation) if incarnation.matches(&notice) => incarnation.update(notice),
             // A late heartbeat of an earlier incarnation is ignored.
-            Some(incarnation) if notice.born < incarnation.notice.born => {}
+            Some(incarnation) if notice.born < incarnation.notice.born => {
+                let WorkerNotice { worker, born, .. } = &incarnation.notice;
+                let line =
+                    format!("event=heartbeat_ignored worker={} born={} known={worker} known_born={born}", notice.worker, notice.born);
+                self.log(line);
+            }
             _ => self.begin_incarnation(notice),
         }
     }
@@ -328,8 +333,11 @@
     }
 
     fn handle_deregistration(&mut self, worker: &SmolStr) {
-        if self.incarnation.as_ref().is_some_and(|incarnation| incarnation.notice.worker == *worker) {
+        let known = self.incarnation.as_ref().map(|incarnation| incarnation.notice.worker.clone());
+        if known.as_ref() == Some(worker) {
             self.end_incarnation(IncarnationEnd::DEREGISTRATION);
+        } else {
+            self.log(format!("event=deregistration_ignored worker={worker} known={}", known.as_deref().unwrap_or("none")));
         }
     }
 
--- a/crates/runs/tests/log_lines.rs
+++ b/crates/runs/tests/log_lines.rs
@@ -170,6 +170,16 @@
     );
 }
 
+#[test]
+fn agent_logs_signs_of_other_workers_that_it_ignores() {
+    let mut harness = AgentHarness::new();
+    harness.deliver(20, RunnerEvent::WorkerDeregistered(SmolStr::new_static("i-2")));
+    harness.deliver(30, RunnerEvent::WorkerHeartbeat(WorkerNotice { born: 0, ..notice(9) }));
+    assert_eq!(lines_of(&harness.lines, "deregistration_ignored"), ["event=deregistration_ignored worker=i-2 known=i-1"]);
+    assert_eq!(lines_of(&harness.lines, "heartbeat_ignored"), ["event=heartbeat_ignored worker=i-1 born=0 known=i-1 known_born=1"]);
+    assert_eq!(lines_of(&harness.lines, "worker_lost"), [""; 0]);
+}
+
 #[test]
 fn agent_logs_listed_runs_that_it_does_not_know() {
     let mut harness = AgentHarness::new();
