--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -121,6 +121,13 @@
     },
     /// Writes a log line of key=value pairs.
     Log(String),
+    /// Counts the end of a run in a metric.
+    EndRecorded {
+        /// The outcome of the run.
+        outcome: RunOutcome,
+        /// What showed the end.
+        sign: EndSign,
+    },
     /// The agent has drained, and the process may exit.
     Drained,
 }
@@ -148,7 +155,7 @@
     plan: SitePlan,
     polls: lease_polls::PollState,
     /// When the last call was sent that extends the lease of a worker that receives it.
-    lease_extended_at: MonoTime,
+    lease_extended_at: Option<MonoTime>,
     /// When the worker last answered a call.
     worker_answered_at: MonoTime,
     drain_started_at: Option<MonoTime>,
@@ -173,7 +180,7 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             polls: lease_polls::PollState::default(),
-            lease_extended_at: MonoTime::ZERO,
+            lease_extended_at: None,
             worker_answered_at: MonoTime::ZERO,
             drain_started_at: None,
             actions: Vec::new(),
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -16,6 +16,7 @@
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
 use crate::agent::run_table::{RunRecord, RunState};
 use crate::agent::worker_incarnation::{WorkerIncarnation, WorkerNotice};
+use crate::log_fields::format_age;
 
 /// The sign on which an agent no longer calls the worker's incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +89,10 @@
                 self.replace_incarnation(successor, IncarnationEnd::HEARTBEAT);
             }
             LeasePollReply::Runs(_) | LeasePollReply::OtherIncarnation => {
-                self.log(format!("event=heartbeat_refuted worker={} born={}", successor.worker, successor.born));
+                let WorkerNotice { worker, born, .. } = &incarnation.notice;
+                let (other, other_born) = (&successor.worker, successor.born);
+                let line = format!("event=heartbeat_refuted worker={other} born={other_born} known={worker} known_born={born}");
+                self.log(line);
             }
             LeasePollReply::Fenced => self.raise_fencing_token(),
             LeasePollReply::Unanswered => self.successor = Some(successor),
@@ -135,7 +139,7 @@
         let WorkerNotice { worker, born, is_ready, sequence, .. } = notice;
         let lost = self.lost_incarnation.as_ref();
         let is_same = lost.is_some_and(|lost| lost.worker == *worker && lost.born == *born);
-        let lost_ms = lost.map_or_else(|| "none".to_owned(), |lost| self.now.since(lost.lost_at).as_millis().to_string());
+        let lost_ms = format_age(lost.map(|lost| self.now.since(lost.lost_at)));
         self.log(format!(
             "event=worker_found worker={worker} born={born} ready={is_ready} heartbeat={sequence} same={is_same} lost_ms={lost_ms}"
         ));
@@ -186,7 +190,8 @@
     /// their lease shows otherwise.
     pub(super) fn handle_deregistration(&mut self, worker: &SmolStr) {
         let Some(incarnation) = self.incarnation.as_mut().filter(|incarnation| incarnation.notice.worker == *worker) else {
-            return;
+            let known = self.incarnation.as_ref().map_or("none", |incarnation| incarnation.notice.worker.as_str());
+            return self.log(format!("event=deregistration_ignored worker={worker} known={known}"));
         };
         incarnation.is_leaving = true;
         let runs = self.runs.len();
