The worker's lease ends with the authority of its runs: lost stops no longer let a run outlive its entry

What callers could see: a task runs twice after its entry was lost, for as long as the calls that stop the first run are lost. Cause: the polls of an agent renewed the worker's lease while any run was there, the runs to be stopped among them. The lease covers all runs, so it never ended for a run whose session's lease had ended but whose stop was not received, although entries count on it. Change: a renewal or a start grants a lease that is shorter by the time for which the session's lease of any run at the worker has ended. Starts are refused while less than half a lease is left. Tests: worker_loss::run_of_a_lapsed_session_ends_although_its_stops_are_lost and run_of_a_lost_session_ends_although_its_stops_are_lost failed before (the runs went on without end) and pass; run_invariants passes.

--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -102,6 +102,8 @@
     pub stop_calls: u32,
     /// Number of start calls that were not answered and may still be executed.
     pub open_calls: u32,
+    /// End of the session's lease when the session was lost; zero while there is one.
+    pub leased_until: MonoTime,
     /// Whether a list has shown the run, and so the incarnation that runs it.
     pub is_listed: bool,
 }
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -10,7 +10,7 @@
 use super::incarnations::IncarnationEnd;
 use super::RunnerControl;
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
-use crate::agent::run_table::{RunState, StopCause};
+use crate::agent::run_table::{RunRecord, RunState, StopCause};
 use crate::log_fields::format_list;
 
 /// Maximum time that the worker delays its reply to a poll until a run ends. A quarter of the maximum worker lease, so
@@ -87,8 +87,9 @@
         if !is_needed || awaited >= awaited_max || self.polls.pending.len() >= PENDING_POLLS_MAX || self.now < self.polls.due_at {
             return;
         }
-        let is_renewing = incarnation.is_settled && self.runs.has_runs_at_worker() && self.polls.failures == 0;
-        let lease_end = is_renewing.then(|| incarnation.clock.lease_end(self.now, self.options.lease_terms.worker_lease));
+        let is_renewing =
+            incarnation.is_settled && self.runs.has_runs_at_worker() && self.polls.failures == 0 && !self.next_worker_lease().is_zero();
+        let lease_end = is_renewing.then(|| self.next_lease_end());
         let is_stopping = |state: &RunState| matches!(state, RunState::Stopping { .. });
         let needs_short_wait = is_lossy || self.runs.iter().any(|(_, record)| is_stopping(&record.state));
         let wait = match is_renewing {
@@ -232,6 +233,25 @@
         EndEvidence { sign, age, lease_left: Millis::from_duration(self.worker_lease_left()) }
     }
 
+    /// Returns the duration of a worker's lease that is granted now. The lease covers all runs at the worker, so it ends no later after
+    /// the end of the session's lease of any of them than it would if the worker's last renewal had come just before.
+    pub(super) fn next_worker_lease(&self) -> Duration {
+        let session_end = |record: &RunRecord| {
+            let lease = record.owner.and_then(|owner| self.sessions.get(&owner));
+            lease.map_or(record.leased_until, |lease| lease.leased_until().max(record.leased_until))
+        };
+        let at_worker = self.runs.iter().filter(|(_, record)| record.state != RunState::Queued);
+        let first_end = at_worker.map(|(_, record)| session_end(record)).min();
+        let overdue = first_end.map_or(Duration::ZERO, |end| self.now.since(end));
+        self.options.lease_terms.worker_lease.saturating_sub(overdue)
+    }
+
+    /// Returns when a worker's lease that is granted now ends, on the worker's clock.
+    pub(super) fn next_lease_end(&self) -> u64 {
+        let duration = self.next_worker_lease();
+        self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(self.now, duration))
+    }
+
     /// Records that a call is sent which extends the worker's lease if the worker receives it.
     pub(super) fn record_lease_extension(&mut self) {
         self.lease_extended_at = Some(self.now);
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -83,6 +83,7 @@
             stop_cause: None,
             stop_calls: 0,
             open_calls: 0,
+            leased_until: MonoTime::ZERO,
             is_listed: false,
         };
         if self.runs.add(start.run, record) && !may_start {
@@ -95,7 +96,9 @@
         let can_start = |incarnation: &WorkerIncarnation| incarnation.is_settled && incarnation.notice.is_ready && !incarnation.is_leaving;
         let is_ready = self.incarnation.as_ref().is_some_and(can_start);
         let is_in_service = self.drain_started_at.is_none() && !self.plan.zones_out.contains(&self.options.zone);
-        is_ready && is_in_service && !self.has_overdue_start()
+        // A start takes part in the lease that covers all runs, which is short while one of them has to end.
+        let has_lease = self.next_worker_lease() * 2 > self.options.lease_terms.worker_lease;
+        is_ready && is_in_service && has_lease && !self.has_overdue_start()
     }
 
     /// Returns whether the worker has answered no call since a start whose answer is overdue. More starts would
@@ -124,8 +127,7 @@
             .as_ref()
             .map(|incarnation| incarnation.notice.capacity.saturating_sub(&self.runs.used_at_worker()))
             .unwrap_or_default();
-        let lease_end =
-            self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(self.now, self.options.lease_terms.worker_lease));
+        let lease_end = self.next_lease_end();
         let now = self.now;
         let Some(record) = self.runs.get_mut(run) else {
             return;
@@ -190,8 +192,7 @@
             due.push((*run, record.payload.clone()));
         }
         for (run, payload) in due {
-            let lease_end =
-                self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(now, self.options.lease_terms.worker_lease));
+            let lease_end = self.next_lease_end();
             self.record_lease_extension();
             self.polls.lossy_until = now + LOSSY_INTERVAL;
             self.log_start_call("start_repeated", &run, lease_end);
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -73,6 +73,7 @@
         for run in runs {
             if let Some(record) = self.runs.get_mut(&run) {
                 record.owner = None;
+                record.leased_until = lease.leased_until();
             }
             self.stop_run(&run, StopCause::EntryLost);
         }
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns when the lease ends, or has ended.
+    pub fn leased_until(&self) -> MonoTime {
+        self.leased_until
+    }
+
     /// Returns whether the lease is in force at `now`.
     pub fn is_valid(&self, now: MonoTime) -> bool {
         now < self.leased_until
