A draining agent reports no end that it does not know

What callers could see: a task that ran twice when an agent reached the end of its drain with the run at its worker. Cause: at the drain timeout all remaining runs were reported as lost, while the worker went on under a lease renewed just before. Change: the agent stops its runs one lapse of the worker's lease before the timeout, and exits without a report of those whose end it has not seen. Their entries place them again after the loss timeout, or once a new agent has found the worker empty. Test: worker_loss::drain_timeout_ends_no_run_at_the_worker failed before (the run went on for 319 ms) and passes.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -146,8 +146,6 @@
     LaterList,
     /// The worker answered no polls until its lease must have ended.
     WorkerSilent,
-    /// The agent exited at the end of its drain timeout.
-    Drained,
     /// At an entry: a new incarnation of the agent opened a session.
     AgentRestarted,
     /// At an entry: the agent opened a session and did not name the run as unsettled.
@@ -168,7 +166,6 @@
             Self::OutdatedUnlisted => "outdated_unlisted",
             Self::LaterList => "later_list",
             Self::WorkerSilent => "worker_silent",
-            Self::Drained => "drained",
             Self::AgentRestarted => "agent_restarted",
             Self::NotUnsettled => "not_unsettled",
             Self::AgentExpired => "agent_expired",
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -58,6 +58,8 @@
     Outdated,
     /// The worker's incarnation ended, and the run may have started in the next one.
     IncarnationEnded,
+    /// The agent is about to exit.
+    Draining,
 }
 
 impl StopCause {
@@ -70,6 +72,7 @@
             Self::Unanswered => "unanswered",
             Self::Outdated => "outdated",
             Self::IncarnationEnded => "incarnation_ended",
+            Self::Draining => "draining",
         }
     }
 }
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -21,7 +21,7 @@
 
 use super::calls::{WorkerCall, WorkerReply};
 use super::entry_selection::EntrySelection;
-use super::run_table::{RunState, RunTable};
+use super::run_table::{RunState, RunTable, StopCause};
 use super::session_lease::SessionLease;
 use super::worker_incarnation::{WorkerIncarnation, WorkerNotice};
 use crate::LeaseTerms;
@@ -45,7 +45,7 @@
     pub fencing_token: u64,
     /// Durations of the leases.
     pub lease_terms: LeaseTerms,
-    /// Maximum time that a draining agent waits for its runs.
+    /// Maximum time that a draining agent waits for its runs. It stops those that are left shortly before.
     pub drain_timeout: Duration,
     /// Seed of the random number generator.
     pub seed: u64,
@@ -311,12 +311,14 @@
         let Some(started_at) = self.drain_started_at else {
             return;
         };
-        let has_timed_out = self.now.since(started_at) >= self.options.drain_timeout;
-        if self.runs.is_empty() || has_timed_out {
-            let runs_left = self.runs.len();
-            self.finish_all_runs(RunOutcome::Lost, EndSign::Drained);
-            self.send_reports();
-            self.log(format!("event=drained runs_left={runs_left}"));
+        let waited = self.now.since(started_at);
+        if waited + self.lapse_timeout() >= self.options.drain_timeout {
+            let runs = self.runs.select(|_| true);
+            runs.iter().for_each(|run| self.stop_run(run, StopCause::Draining));
+        }
+        if self.runs.is_empty() || waited >= self.options.drain_timeout {
+            // The ends of the remaining runs are not known. Their entries place them again once every lease has ended.
+            self.log(format!("event=drained runs_left={}", self.runs.len()));
             self.actions.push(RunnerAction::Drained);
         }
     }
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -110,8 +110,7 @@
     /// Ends all runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended. A
     /// worker stops all runs by itself when its lease ends.
     fn end_lapsed_runs(&mut self) {
-        let terms = &self.options.lease_terms;
-        let lapse_timeout = terms.worker_lease + terms.worker_lease / 20 + terms.stop_timeout * 2;
+        let lapse_timeout = self.lapse_timeout();
         let is_answering = self.incarnation.is_some() && self.polls.failures == 0;
         let is_leased = self.lease_extended_at.is_some_and(|at| self.now.since(at) < lapse_timeout);
         if is_answering || is_leased || !self.runs.has_runs_at_worker() {
@@ -252,6 +251,12 @@
         self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(self.now, duration))
     }
 
+    /// Returns the time after the last call that extends the worker's lease within which all runs there end.
+    pub(super) fn lapse_timeout(&self) -> Duration {
+        let terms = &self.options.lease_terms;
+        terms.worker_lease + terms.worker_lease / 20 + terms.stop_timeout * 2
+    }
+
     /// Records that a call is sent which extends the worker's lease if the worker receives it.
     pub(super) fn record_lease_extension(&mut self) {
         self.lease_extended_at = Some(self.now);
