An estimate of the worker's clock that an answer contradicts is replaced

What callers could see: leases of up to a second in place of 400 ms for a long time after a host was suspended, and so a task that runs twice when its agent falls silent later. Cause: the lower bound of the worker's clock was only ever raised. A steady clock that stood still with its host was overestimated by the length of the suspension, which at 2% a second takes 50 times as long to pass. Change: an answer bounds the clock from above as well, by the time since its call. A lower bound beyond that is replaced. An agent that gives up a silent worker also raises its fencing token, so that its starts in transit are rejected after the next call.

--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -121,6 +121,8 @@
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.is_settled = false;
         }
+        // Starts that are still in transit are rejected after the next call.
+        self.fencing_token += 1;
         self.former = None;
         self.finish_all_runs(RunOutcome::Lost, EndSign::WorkerSilent);
     }
@@ -146,10 +148,11 @@
             return self.handle_list_of_other(list);
         }
         self.end_former_runs();
-        self.record_clock(list.clock);
+        let now = self.now;
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
+        incarnation.clock.record_answer(sent_at, now, list.clock);
         self.polls.list_sent_at = Some(sent_at);
         incarnation.acknowledged = incarnation.observed;
         let new_ends: Vec<_> = list.ended.iter().filter(|end| end.number > incarnation.observed).copied().collect();
--- a/crates/runs/src/remote_clock.rs
+++ b/crates/runs/src/remote_clock.rs
@@ -8,6 +8,9 @@
 /// most 2% slow, and hosts keep time better than that.
 const CLOCK_RATE_PERCENT_MIN: u32 = 98;
 
+/// Resolution of the readings that other processes send.
+const READING_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// A lower bound of another process's clock, computed from the readings that it sends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RemoteClock {
@@ -23,6 +26,17 @@
         }
     }
 
+    /// Records a reading from the answer, received at `now`, to a call that was sent at `sent_at`. The other clock runs no faster than
+    /// this one, so it can't have advanced further since the reading than this one since the call. A lower bound beyond that is
+    /// wrong: the other clock stood still, for example while its host was suspended. The reading then replaces it.
+    pub fn record_answer(&mut self, sent_at: MonoTime, now: MonoTime, clock: u64) {
+        let latest = clock + (now.since(sent_at) + READING_RESOLUTION).as_millis() as u64;
+        if self.at(now).is_some_and(|lower_bound| lower_bound > latest) {
+            self.reading = None;
+        }
+        self.record(now, clock);
+    }
+
     /// Returns a value that the clock has certainly reached at `now`, or `None` before the first reading.
     pub fn at(&self, now: MonoTime) -> Option<u64> {
         let (at, clock) = self.reading?;
