A hello that is delivered after that of a later session ends no run

Cause: sessions are separate connections, so the hello of an earlier session may arrive after that of a later one. The entry took each hello for the newest: it ended the runs that it did not list, or all of them if it came from an earlier process, placed the tasks again and sent its orders on the dead session. Incarnations are random and have no order.

Evidence: both cases of session_order::late_hello_of_an_earlier_session_ends_no_run failed before.

Mend: a hello carries the start of the agent's process (its initial fencing token) and the number of the session. Within a process only a higher number is accepted. A new process is accepted if its start is later than that of all before. One whose wall clock was set back is accepted once the entry has no session with the agent and no run there, that is after the loss timeout at the latest, when no hello can end anything. An ignored hello is logged, counted and its session closed; an agent that still holds it dials again.

Two more tests enter the same hello after the later session was lost, and an agent whose clock was set back. They fail if every hello is accepted.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -103,6 +103,16 @@
     JobName, "job name"
 );
 
+/// When a process started, in Unix milliseconds. It orders the incarnations of a process unless the wall clock was set back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ProcessStart(pub u64);
+
+impl fmt::Display for ProcessStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Distinguishes the executions of an entry or agent: each start of the process draws a new one at random.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::caller_job::{ResourceAmount, RunId};
-use crate::ids::{AgentId, Incarnation, ServiceName, ZoneName};
+use crate::ids::{AgentId, Incarnation, ProcessStart, ServiceName, ZoneName};
 use crate::site_plan::SitePlan;
 use crate::units::Millis;
 
@@ -28,6 +28,8 @@
     pub agent: AgentId,
     /// The agent's incarnation.
     pub incarnation: Incarnation,
+    /// The place of this session among all that the agent has opened.
+    pub order: SessionOrder,
     /// The agent's availability zone.
     pub zone: ZoneName,
     /// Version of the site plan that the agent holds.
@@ -36,6 +38,22 @@
     pub unsettled: Vec<RunId>,
 }
 
+/// The place of a session among all sessions that the processes of one agent open. Sessions are separate connections, so a
+/// hello may be delivered after that of a later session.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SessionOrder {
+    /// The start of the agent's process.
+    pub process_start: ProcessStart,
+    /// The number of the session within the process, counted from one.
+    pub number: u64,
+}
+
+impl fmt::Display for SessionOrder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.process_start, self.number)
+    }
+}
+
 /// Reports what changed since the previous report, and how much of the worker is in use.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use metrics::{Gauge, Histogram};
+use metrics::{Counter, Gauge, Histogram};
 use tokio::sync::oneshot;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
@@ -46,6 +46,7 @@
     control_lag: Histogram,
     sessions: Gauge,
     strained: Gauge,
+    outdated_hellos: Counter,
 }
 
 impl EntryLoop {
@@ -59,6 +60,7 @@
             control_lag: metrics::histogram!("runs_control_lag_seconds"),
             sessions: metrics::gauge!("runs_sessions"),
             strained: metrics::gauge!("runs_entry_strained"),
+            outdated_hellos: metrics::counter!("runs_outdated_hellos_total"),
         }
     }
 
@@ -128,6 +130,7 @@
 
     fn publish_status(&self) {
         self.sessions.set(self.session_queues.len() as f64);
+        self.outdated_hellos.absolute(self.control.outdated_hellos());
         self.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
         self.status.is_ready.store(self.control.is_ready(), Ordering::Relaxed);
         self.status.is_draining.store(self.control.is_draining(), Ordering::Relaxed);
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -41,7 +41,7 @@
     pub zone: ZoneName,
     /// Addresses of the entries to dial first.
     pub entries: Vec<SmolStr>,
-    /// Initial fencing token. Later agents of the same host start with higher ones.
+    /// Initial fencing token, which also orders the agent's sessions. Later agents of the same host start with higher ones.
     pub fencing_token: u64,
     /// Durations of the leases.
     pub lease_terms: LeaseTerms,
@@ -142,6 +142,8 @@
     incarnation_number: u64,
     runs: RunTable,
     sessions: BTreeMap<SessionId, SessionLease>,
+    /// Number of the last session that was introduced to an entry.
+    last_session_number: u64,
     next_selection_at: MonoTime,
     selection: EntrySelection,
     rng: ChaCha8Rng,
@@ -168,6 +170,7 @@
             incarnation_number: 0,
             runs: RunTable::default(),
             sessions: BTreeMap::new(),
+            last_session_number: 0,
             next_selection_at: MonoTime::ZERO,
             selection: EntrySelection::new(&options.agent, &options.zone, &options.entries),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -4,7 +4,8 @@
 
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
-use vanillacleat_core::run_frames::{EntryRecord, RunFrame, RunHello, RunReport};
+use vanillacleat_core::ids::ProcessStart;
+use vanillacleat_core::run_frames::{EntryRecord, RunFrame, RunHello, RunReport, SessionOrder};
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::{RunnerAction, RunnerControl};
@@ -35,9 +36,12 @@
         }
         self.log(format!("event=entry_found entry={address} unsettled={}", unsettled.len()));
         self.sessions.insert(session, SessionLease::new(self.now, address));
+        self.last_session_number += 1;
+        let process_start = ProcessStart(self.options.fencing_token);
         let hello = RunHello {
             agent: self.options.agent.clone(),
             incarnation: self.options.incarnation,
+            order: SessionOrder { process_start, number: self.last_session_number },
             zone: self.options.zone.clone(),
             plan_version: self.plan.version().0,
             unsettled,
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -148,6 +148,8 @@
     /// The version of the routes that was last sent, by session.
     sent_route_versions: BTreeMap<SessionId, u64>,
     slow_agents: Vec<AgentId>,
+    /// Number of hellos that were ignored because a later session of their agent was known.
+    outdated_hellos: u64,
     draining_since: Option<MonoTime>,
     /// When a draining entry became idle, which means that it refuses new jobs and has no open one.
     idle_since: Option<MonoTime>,
@@ -174,6 +176,7 @@
             pending_echoes: BTreeMap::new(),
             sent_route_versions: BTreeMap::new(),
             slow_agents: Vec::new(),
+            outdated_hellos: 0,
             draining_since: None,
             idle_since: None,
             actions: Vec::new(),
@@ -277,6 +280,11 @@
         self.load.is_strained()
     }
 
+    /// Returns the number of hellos that were ignored because they were delivered after that of a later session.
+    pub fn outdated_hellos(&self) -> u64 {
+        self.outdated_hellos
+    }
+
     /// Returns whether the entry is draining.
     pub fn is_draining(&self) -> bool {
         self.draining_since.is_some()
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -10,6 +10,7 @@
 use vanillacleat_core::units::Millis;
 
 use super::{DispatchAction, DispatchControl};
+use crate::entry::worker_registry::HelloOutcome;
 
 /// Maximum delay of the renewal of a session's lease. The delay lets the renewal share a frame with orders.
 const ECHO_DELAY_MAX: Duration = Duration::from_millis(40);
@@ -32,7 +33,11 @@
 
     fn handle_hello(&mut self, session: SessionId, hello: &RunHello) {
         let contact_age = self.worker_registry.contact_age(self.now, &hello.agent);
-        let is_restarted = self.worker_registry.record_hello(self.now, session, hello);
+        let is_restarted = match self.worker_registry.record_hello(self.now, session, hello) {
+            HelloOutcome::Opened => false,
+            HelloOutcome::Restarted => true,
+            HelloOutcome::Outdated => return self.ignore_hello(session, hello),
+        };
         // An agent stops all runs of a lost session, so a run that it no longer lists has ended. A new incarnation of an
         // agent opens its first session only after all earlier runs at its worker have ended.
         let has_ended = |run: &RunId| is_restarted || !hello.unsettled.contains(run);
@@ -59,6 +64,19 @@
         }
     }
 
+    /// Closes a session whose hello was delivered after that of a later one. An agent that still holds it opens another.
+    fn ignore_hello(&mut self, session: SessionId, hello: &RunHello) {
+        self.outdated_hellos += 1;
+        let last = self.worker_registry.get(&hello.agent).map(|worker| worker.session_order).unwrap_or_default();
+        self.log(format!(
+            "event=hello_outdated agent={} session={session} order={} last_order={last} unsettled={}",
+            hello.agent,
+            hello.order,
+            hello.unsettled.len()
+        ));
+        self.actions.push(DispatchAction::Close(session));
+    }
+
     /// Sends the plan without its routes: the zones that are out of service.
     fn send_zones(&mut self, session: SessionId) {
         let plan = Box::new(self.plan.without_routes());
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -25,4 +25,4 @@
 pub use straggler_rule::{slowness_threshold, RunForecast};
 pub use worker_capacity::WorkerCapacity;
 pub use worker_performance::WorkerPerformance;
-pub use worker_registry::{CapacityRequest, WorkerRegistry};
+pub use worker_registry::{CapacityRequest, HelloOutcome, WorkerRegistry};
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -4,8 +4,8 @@
 
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::ResourceAmount;
-use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
-use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerInfo};
+use vanillacleat_core::ids::{AgentId, Incarnation, ProcessStart, ZoneName};
+use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::worker_performance::WorkerPerformance;
@@ -31,6 +31,10 @@
     pub agent: AgentId,
     /// The incarnation of the agent's process.
     pub incarnation: Incarnation,
+    /// The place of the agent's last session among all that it has opened.
+    pub session_order: SessionOrder,
+    /// The latest start of the agent's processes. A wall clock that was set back makes it later than that of the last session.
+    pub latest_start: ProcessStart,
     /// The worker's availability zone.
     pub zone: ZoneName,
     /// The open session, if there is one.
@@ -73,6 +77,8 @@
         Self {
             agent: hello.agent.clone(),
             incarnation: hello.incarnation,
+            session_order: hello.order,
+            latest_start: hello.order.process_start,
             zone: hello.zone.clone(),
             session: Some(session),
             info: None,
@@ -94,6 +100,16 @@
         }
     }
 
+    /// Returns whether a hello is that of a later session than the last one, so that what it says of runs is newer than any order of
+    /// this entry. The starts of two processes don't show their order if the wall clock was set back between them. A process that
+    /// seems to be the earlier one is therefore accepted once no run of this entry can be at the agent.
+    pub(super) fn precedes(&self, hello: &RunHello) -> bool {
+        if hello.incarnation == self.incarnation {
+            return hello.order.number > self.session_order.number;
+        }
+        hello.order.process_start > self.latest_start || (self.session.is_none() && self.runs == 0)
+    }
+
     /// Updates the state from a report.
     pub(super) fn record_report(&mut self, now: MonoTime, report: &RunReport) {
         self.last_received_at = now;
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -36,6 +36,17 @@
     pub is_late: bool,
 }
 
+/// What a hello showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HelloOutcome {
+    /// The agent's process is new to this entry, or has opened another session.
+    Opened,
+    /// A new process of a known agent has opened a session.
+    Restarted,
+    /// The agent has opened a later session. The hello says nothing of its runs now.
+    Outdated,
+}
+
 /// Holds the workers that one entry knows. It learns of them only through the sessions that their agents open.
 #[derive(Debug)]
 pub struct WorkerRegistry {
@@ -57,20 +68,28 @@
         Self { workers: BTreeMap::new(), by_session: BTreeMap::new(), report_age_max }
     }
 
-    /// Records an agent's hello on a new session. Returns whether it comes from a new incarnation of a known agent.
-    pub fn record_hello(&mut self, now: MonoTime, session: SessionId, hello: &RunHello) -> bool {
-        self.by_session.insert(session, hello.agent.clone());
+    /// Records an agent's hello on a new session, unless it is that of an earlier session than the agent's last one.
+    pub fn record_hello(&mut self, now: MonoTime, session: SessionId, hello: &RunHello) -> HelloOutcome {
         let mut worker = WorkerCapacity::new(now, session, hello);
         let previous = self.workers.get(&hello.agent);
+        if previous.is_some_and(|previous| !previous.precedes(hello)) {
+            return HelloOutcome::Outdated;
+        }
         let is_restarted = previous.is_some_and(|previous| previous.incarnation != hello.incarnation);
         if let Some(previous) = previous {
+            worker.latest_start = worker.latest_start.max(previous.latest_start);
             worker.reserved = previous.reserved;
             worker.runs = previous.runs;
             worker.is_slow = previous.is_slow;
             worker.performance = previous.performance.clone();
         }
+        self.by_session.insert(session, hello.agent.clone());
         self.workers.insert(hello.agent.clone(), worker);
-        is_restarted
+        if is_restarted {
+            HelloOutcome::Restarted
+        } else {
+            HelloOutcome::Opened
+        }
     }
 
     /// Records a report. Returns the agent, or `None` if the session is not the agent's current one.
--- a/crates/runs/tests/late_jobs.rs
+++ b/crates/runs/tests/late_jobs.rs
@@ -14,7 +14,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
-use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerInfo};
+use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::entry::{CapacityRequest, JobTimes, WorkerRegistry};
 
@@ -55,8 +55,14 @@
         let zone: ZoneName = "zone-0".parse().expect("a valid name");
         let mut registry = WorkerRegistry::default();
         for worker in 0..WORKERS {
-            let hello =
-                RunHello { agent: agent(worker), incarnation: Incarnation(1), zone: zone.clone(), plan_version: 0, unsettled: Vec::new() };
+            let hello = RunHello {
+                agent: agent(worker),
+                incarnation: Incarnation(1),
+                order: SessionOrder::default(),
+                zone: zone.clone(),
+                plan_version: 0,
+                unsettled: Vec::new(),
+            };
             registry.record_hello(MonoTime::ZERO, SessionId(worker as u64), &hello);
         }
         let service = "desk".parse().expect("a valid name");
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -8,7 +8,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunOrders, RunReport, RunStart, WorkerInfo};
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunOrders, RunReport, RunStart, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     LeasePollReply, RunList, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, StopReply, WorkerCall, WorkerNotice, WorkerReply,
@@ -151,6 +151,7 @@
     let hello = RunHello {
         agent: "agent-1".parse().expect("a valid name"),
         incarnation: Incarnation(1),
+        order: SessionOrder::default(),
         zone: "zone-0".parse().expect("a valid name"),
         plan_version: 1,
         unsettled: Vec::new(),
--- a/crates/runs/tests/placement.rs
+++ b/crates/runs/tests/placement.rs
@@ -10,7 +10,7 @@
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{EndEvidence, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, WorkerInfo};
+use vanillacleat_core::run_frames::{EndEvidence, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, JobDraft, RequestKind};
 
@@ -40,6 +40,7 @@
         let hello = RunHello {
             agent: format!("agent-{number}").parse().expect("a valid name"),
             incarnation: Incarnation(1),
+            order: SessionOrder::default(),
             zone: format!("zone-{number}").parse().expect("a valid name"),
             plan_version: 0,
             unsettled: Vec::new(),
--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -14,7 +14,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
-use vanillacleat_core::run_frames::{RunHello, RunReport, WorkerInfo};
+use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::entry::{CapacityRequest, WorkerCapacity, WorkerRegistry};
 
@@ -142,7 +142,14 @@
         };
         for (entry, worker) in (0..ENTRIES).flat_map(|entry| (0..WORKERS).map(move |worker| (entry, worker))) {
             let zone = zone(worker % ZONES);
-            let hello = RunHello { agent: agent(worker), incarnation: Incarnation(1), zone, plan_version: 0, unsettled: Vec::new() };
+            let hello = RunHello {
+                agent: agent(worker),
+                incarnation: Incarnation(1),
+                order: SessionOrder::default(),
+                zone,
+                plan_version: 0,
+                unsettled: Vec::new(),
+            };
             model.registries[entry].record_hello(MonoTime::ZERO, SessionId(worker as u64), &hello);
         }
         model
--- a/crates/runs/tests/plan_relay.rs
+++ b/crates/runs/tests/plan_relay.rs
@@ -5,7 +5,7 @@
 
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunReport};
+use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunReport, SessionOrder};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 use vanillacleat_runs::entry::{DispatchAction, DispatchControl, DispatchEvent};
@@ -27,6 +27,7 @@
     let hello = RunHello {
         agent: format!("agent-{number:02}").parse().expect("a valid name"),
         incarnation: Incarnation(1),
+        order: SessionOrder::default(),
         zone: format!("zone-{}", number % 2).parse().expect("a valid name"),
         plan_version,
         unsettled: Vec::new(),
--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -5,8 +5,8 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::ids::{Incarnation, ProcessStart};
+use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder};
 use vanillacleat_core::units::Millis;
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
 use vanillacleat_runs::entry::DispatchEvent;
@@ -32,25 +32,70 @@
     site
 }
 
-// Guards against a hello that is delivered after that of a later session, when the entry has already sent starts on the later one.
-// The late one comes from the same process of the agent, or from an earlier one.
-#[rstest]
-#[case::same_incarnation(Incarnation(1))]
-#[case::earlier_incarnation(Incarnation(0))]
-fn late_hello_of_an_earlier_session_ends_no_run(#[case] incarnation: Incarnation) {
-    let mut site = site_with_a_run();
+/// Delivers a hello without unsettled runs on a new session of agent 0, whose process has the incarnation 1 and started at 100.
+fn deliver_hello(site: &mut SiteBench, session: SessionId, incarnation: u64, process_start: u64, number: u64) {
     let hello = RunHello {
         agent: "agent-1".parse().expect("a valid name"),
-        incarnation,
+        incarnation: Incarnation(incarnation),
+        order: SessionOrder { process_start: ProcessStart(process_start), number },
         zone: "zone-0".parse().expect("a valid name"),
         plan_version: 1,
         unsettled: Vec::new(),
     };
-    let session = SessionId(99);
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) }]);
+}
+
+/// Returns the session with agent 0 that the entry uses.
+fn used_session(site: &SiteBench) -> Option<SessionId> {
+    site.entry.worker_registry().get(&"agent-1".parse().expect("a valid name")).and_then(|worker| worker.session)
+}
+
+// Guards against a hello that is delivered after that of a later session, when the entry has already sent starts on the later one.
+// The late one comes from the same process of the agent, or from an earlier one.
+#[rstest]
+#[case::same_incarnation(1, 100, 0)]
+#[case::earlier_incarnation(0, 99, 7)]
+fn late_hello_of_an_earlier_session_ends_no_run(#[case] incarnation: u64, #[case] process_start: u64, #[case] number: u64) {
+    let mut site = site_with_a_run();
+    let session = SessionId(99);
+    deliver_hello(&mut site, session, incarnation, process_start, number);
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(session)]);
     site.advance(1_200 + LOSS_TIMEOUT - 200);
     assert_eq!(site.double_runs(), vec![]);
+    assert_eq!(site.entry.outdated_hellos(), 1);
+}
+
+// Guards against the same hello when the entry has lost the later session, while the run still has a lease.
+#[rstest]
+#[case::same_incarnation(1, 100, 0)]
+#[case::earlier_incarnation(0, 99, 7)]
+fn late_hello_after_a_lost_session_ends_no_run(#[case] incarnation: u64, #[case] process_start: u64, #[case] number: u64) {
+    let mut site = site_with_a_run();
+    site.cut(SiteBench::session(0, 1));
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(SiteBench::session(0, 1))]);
+    deliver_hello(&mut site, SessionId(99), incarnation, process_start, number);
+    site.advance(1_200 + LOSS_TIMEOUT - 200);
+    assert_eq!(site.double_runs(), vec![]);
+    assert_eq!(used_session(&site), None);
+}
+
+// Guards against an agent that stays shut out because it has restarted after its wall clock was set back. The process that it
+// replaced sends nothing more, and is then taken for the earlier one.
+#[test]
+fn agent_whose_clock_was_set_back_is_accepted_once_no_run_is_left() {
+    let mut site = site_with_a_run();
+    let former = SiteBench::session(0, 1);
+    site.cut(former);
+    deliver_hello(&mut site, SessionId(97), 2, 50, 1);
+    assert_eq!(used_session(&site), Some(former), "the former process may be running the run");
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(former)]);
+    site.advance(1_200 + LOSS_TIMEOUT);
+    deliver_hello(&mut site, SessionId(98), 2, 50, 2);
+    assert_eq!(used_session(&site), Some(SessionId(98)));
+    deliver_hello(&mut site, SessionId(99), 1, 100, 2);
+    assert_eq!(used_session(&site), Some(SessionId(98)), "a late hello of the former process");
+    deliver_hello(&mut site, SessionId(100), 3, 101, 1);
+    assert_eq!(used_session(&site), Some(SessionId(100)));
 }
 
 // Guards against an agent that opens a second session with an entry while the first one is open, which happens if the entry is
