An agent introduces itself to an entry on one session at a time

Callers saw a task run twice when an agent opened a second session with an entry: the hello of the second one does not list the runs of the first, so the entry ended them while they went on, for 369 ms in the test.

Cause: the agent's dialer forgot a dial in flight when its entry was deselected, and dialed again when the entry was selected again before that. Nothing prevented two open sessions either; a dial that is reported only after the dialer's timeout, because the process was paused, leads there too.

Mend: a session that opens while another with the same address is open is closed before its hello. This is safe in every order of delivery, since the entry hears nothing of it; if the older session is dead, the agent gives it up after a second and dials again. The failed dial of an entry with an open session changes nothing. The dialer keeps a removed address until its dial has a result or has timed out, and dials it again only then.

--- a/crates/control/src/agent/dialer.rs
+++ b/crates/control/src/agent/dialer.rs
@@ -29,17 +29,24 @@
 #[derive(Debug)]
 struct DialState {
     is_seed: bool,
+    /// Whether the address was removed during a dial. Its state is kept until the dial has a result.
+    is_removed: bool,
+    is_dialing: bool,
     is_connected: bool,
     failures: u32,
     next_dial_at: MonoTime,
 }
 
+impl DialState {
+    fn new(is_seed: bool) -> Self {
+        Self { is_seed, is_removed: false, is_dialing: false, is_connected: false, failures: 0, next_dial_at: MonoTime::ZERO }
+    }
+}
+
 impl EntryDialer {
     /// Returns a dialer that knows only the seeds, which it never removes.
     pub fn new(seeds: Vec<SmolStr>) -> Self {
-        let states = seeds
-            .into_iter()
-            .map(|seed| (seed, DialState { is_seed: true, is_connected: false, failures: 0, next_dial_at: MonoTime::ZERO }));
+        let states = seeds.into_iter().map(|seed| (seed, DialState::new(true)));
         Self { entries: states.collect(), redial_min: REDIAL_MIN, redial_max: REDIAL_MAX, steady_attempts: 1 }
     }
 
@@ -50,20 +57,23 @@
         Self { redial_min, redial_max, steady_attempts, ..self }
     }
 
-    /// Adds the address of an entry, unless it is already known.
+    /// Adds the address of an entry, unless it is already known. An address that was removed during a dial is not dialed again
+    /// before that dial has a result.
     pub fn add_address(&mut self, address: SmolStr) {
-        let state = DialState { is_seed: false, is_connected: false, failures: 0, next_dial_at: MonoTime::ZERO };
-        self.entries.entry(address).or_insert(state);
+        self.entries.entry(address).or_insert_with(|| DialState::new(false)).is_removed = false;
     }
 
     /// Removes the addresses that don't satisfy `is_kept`.
     pub fn retain_addresses(&mut self, is_kept: impl Fn(&SmolStr) -> bool) {
-        self.entries.retain(|address, _| is_kept(address));
+        self.entries.retain(|address, state| {
+            state.is_removed |= !is_kept(address);
+            !state.is_removed || state.is_dialing
+        });
     }
 
     /// Returns whether an address is dialed or connected.
     pub fn is_known(&self, address: &SmolStr) -> bool {
-        self.entries.contains_key(address)
+        self.entries.get(address).is_some_and(|state| !state.is_removed)
     }
 
     /// Returns the number of consecutive dials of an address that failed; zero if it is connected or unknown.
@@ -73,8 +83,12 @@
 
     /// Records that a session with the entry at `address` is open.
     pub fn record_connected(&mut self, address: &SmolStr) {
-        if let Some(state) = self.entries.get_mut(address) {
-            (state.is_connected, state.failures) = (true, 0);
+        let Some(state) = self.entries.get_mut(address) else {
+            return;
+        };
+        (state.is_dialing, state.is_connected, state.failures) = (false, true, 0);
+        if state.is_removed {
+            self.entries.remove(address);
         }
     }
 
@@ -83,20 +97,22 @@
         let Some(state) = self.entries.get_mut(address) else {
             return;
         };
-        state.is_connected = false;
+        (state.is_dialing, state.is_connected) = (false, false);
         state.failures += 1;
         let delay = (self.redial_min * 2_u32.pow(state.failures.saturating_sub(self.steady_attempts).min(5))).min(self.redial_max);
         state.next_dial_at = now + delay.mul_f64(rng.random_range(0.5..1.0));
-        if state.failures > FAILURES_MAX && !state.is_seed {
+        if state.is_removed || (state.failures > FAILURES_MAX && !state.is_seed) {
             self.entries.remove(address);
         }
     }
 
     /// Returns the addresses to dial now, and schedules their next dial in case no result is recorded.
     pub fn due_addresses(&mut self, now: MonoTime, rng: &mut ChaCha8Rng) -> Vec<SmolStr> {
+        self.entries.retain(|_, state| !state.is_removed || now < state.next_dial_at);
         let mut due = Vec::new();
         for (address, state) in &mut self.entries {
             if !state.is_connected && now >= state.next_dial_at {
+                state.is_dialing = true;
                 state.next_dial_at = now + DIAL_TIMEOUT.mul_f64(rng.random_range(1.0..1.5));
                 due.push(address.clone());
             }
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -27,8 +27,14 @@
 const SELECTION_INTERVAL: Duration = Duration::from_millis(250);
 
 impl RunnerControl {
+    /// Introduces the agent to an entry, unless another session with it is open. The entry uses only the session that was introduced
+    /// last, and ends the runs that its hello doesn't list.
     pub(super) fn handle_session_opened(&mut self, session: SessionId, address: SmolStr) {
         self.selection.dialer.record_connected(&address);
+        if self.has_session_with(&address) {
+            self.log(format!("event=session_surplus entry={address} session={session}"));
+            return self.actions.push(RunnerAction::Close(session));
+        }
         let mut unsettled = Vec::new();
         for (run, record) in self.runs.iter_mut().filter(|(_, record)| record.entry == address && record.owner.is_none()) {
             record.owner = Some(session);
@@ -49,8 +55,13 @@
         self.actions.push(RunnerAction::Send { session, frame: RunFrame::Hello(hello) });
     }
 
+    fn has_session_with(&self, address: &SmolStr) -> bool {
+        self.sessions.values().any(|lease| lease.address == *address)
+    }
+
     pub(super) fn handle_session_closed(&mut self, session: Option<SessionId>, address: &SmolStr) {
-        if session.is_some_and(|session| !self.sessions.contains_key(&session)) {
+        let is_open = session.map_or_else(|| !self.has_session_with(address), |session| self.sessions.contains_key(&session));
+        if !is_open {
             return;
         }
         self.selection.dialer.record_disconnected(address, self.now, &mut self.rng);
