--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -41,7 +41,7 @@
     pub zone: ZoneName,
     /// Addresses of the entries to dial first.
     pub entries: Vec<SmolStr>,
-    /// Initial fencing token. Later agents of the same host start with higher ones.
+    /// Initial fencing token, which also orders the agent's sessions. Later agents of the same host start with higher ones.
     pub fencing_token: u64,
     /// Durations of the leases.
     pub lease_terms: LeaseTerms,
@@ -149,6 +149,8 @@
     incarnation_number: u64,
     runs: RunTable,
     sessions: BTreeMap<SessionId, SessionLease>,
+    /// Number of the last session that was introduced to an entry.
+    last_session_number: u64,
     next_selection_at: MonoTime,
     selection: EntrySelection,
     rng: ChaCha8Rng,
@@ -175,6 +177,7 @@
             incarnation_number: 0,
             runs: RunTable::default(),
             sessions: BTreeMap::new(),
+            last_session_number: 0,
             next_selection_at: MonoTime::ZERO,
             selection: EntrySelection::new(&options.agent, &options.zone, &options.entries),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -5,8 +5,8 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::ids::{Incarnation, ProcessStart};
+use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder};
 use vanillacleat_core::units::Millis;
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
 use vanillacleat_runs::entry::DispatchEvent;
@@ -32,25 +32,70 @@
     site
 }
 
-// Guards against a hello that is delivered after that of a later session, when the entry has already sent starts on the later one.
-// The late one comes from the same process of the agent, or from an earlier one.
-#[rstest]
-#[case::same_incarnation(Incarnation(1))]
-#[case::earlier_incarnation(Incarnation(0))]
-fn late_hello_of_an_earlier_session_ends_no_run(#[case] incarnation: Incarnation) {
-    let mut site = site_with_a_run();
+/// Delivers a hello without unsettled runs on a new session of agent 0, whose process has the incarnation 1 and started at 100.
+fn deliver_hello(site: &mut SiteBench, session: SessionId, incarnation: u64, process_start: u64, number: u64) {
     let hello = RunHello {
         agent: "agent-1".parse().expect("a valid name"),
-        incarnation,
+        incarnation: Incarnation(incarnation),
+        order: SessionOrder { process_start: ProcessStart(process_start), number },
         zone: "zone-0".parse().expect("a valid name"),
         plan_version: 1,
         unsettled: Vec::new(),
     };
-    let session = SessionId(99);
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) }]);
+}
+
+/// Returns the session with agent 0 that the entry uses.
+fn used_session(site: &SiteBench) -> Option<SessionId> {
+    site.entry.worker_registry().get(&"agent-1".parse().expect("a valid name")).and_then(|worker| worker.session)
+}
+
+// Guards against a hello that is delivered after that of a later session, when the entry has already sent starts on the later one.
+// The late one comes from the same process of the agent, or from an earlier one.
+#[rstest]
+#[case::same_incarnation(1, 100, 0)]
+#[case::earlier_incarnation(0, 99, 7)]
+fn late_hello_of_an_earlier_session_ends_no_run(#[case] incarnation: u64, #[case] process_start: u64, #[case] number: u64) {
+    let mut site = site_with_a_run();
+    let session = SessionId(99);
+    deliver_hello(&mut site, session, incarnation, process_start, number);
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(session)]);
     site.advance(1_200 + LOSS_TIMEOUT - 200);
     assert_eq!(site.double_runs(), vec![]);
+    assert_eq!(site.entry.outdated_hellos(), 1);
+}
+
+// Guards against the same hello when the entry has lost the later session, while the run still has a lease.
+#[rstest]
+#[case::same_incarnation(1, 100, 0)]
+#[case::earlier_incarnation(0, 99, 7)]
+fn late_hello_after_a_lost_session_ends_no_run(#[case] incarnation: u64, #[case] process_start: u64, #[case] number: u64) {
+    let mut site = site_with_a_run();
+    site.cut(SiteBench::session(0, 1));
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(SiteBench::session(0, 1))]);
+    deliver_hello(&mut site, SessionId(99), incarnation, process_start, number);
+    site.advance(1_200 + LOSS_TIMEOUT - 200);
+    assert_eq!(site.double_runs(), vec![]);
+    assert_eq!(used_session(&site), None);
+}
+
+// Guards against an agent that stays shut out because it has restarted after its wall clock was set back. The process that it
+// replaced sends nothing more, and is then taken for the earlier one.
+#[test]
+fn agent_whose_clock_was_set_back_is_accepted_once_no_run_is_left() {
+    let mut site = site_with_a_run();
+    let former = SiteBench::session(0, 1);
+    site.cut(former);
+    deliver_hello(&mut site, SessionId(97), 2, 50, 1);
+    assert_eq!(used_session(&site), Some(former), "the former process may be running the run");
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::SessionClosed(former)]);
+    site.advance(1_200 + LOSS_TIMEOUT);
+    deliver_hello(&mut site, SessionId(98), 2, 50, 2);
+    assert_eq!(used_session(&site), Some(SessionId(98)));
+    deliver_hello(&mut site, SessionId(99), 1, 100, 2);
+    assert_eq!(used_session(&site), Some(SessionId(98)), "a late hello of the former process");
+    deliver_hello(&mut site, SessionId(100), 3, 101, 1);
+    assert_eq!(used_session(&site), Some(SessionId(100)));
 }
 
 // Guards against an agent that opens a second session with an entry while the first one is open, which happens if the entry is
@@ -63,9 +108,26 @@
     assert_eq!(site.double_runs(), vec![]);
 }
 
-// Guards against the second session of the test above: a dial that is open when its entry is deselected and selected again.
+// Guards against a second session that is introduced although the first one is open, and against the loss of the first because the
+// second one closes or its dial fails.
 #[test]
-fn entry_is_not_dialed_again_while_a_dial_is_open() {
+fn surplus_session_is_closed_without_a_hello() {
+    let mut bench = AgentBench::new();
+    let address = SmolStr::new_static("entry-1");
+    let (hellos, dials) = (bench.hellos.len(), dials_of_entry_1(&bench));
+    bench.order_start(1, run(0, 1));
+    bench.deliver(RunnerEvent::SessionOpened { session: SessionId(3), address: address.clone() });
+    assert_eq!(bench.closed_sessions, vec![SessionId(3)]);
+    bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(3)), address: address.clone() });
+    bench.deliver(RunnerEvent::SessionClosed { session: None, address });
+    bench.advance(2_000);
+    assert_eq!(bench.hellos.len(), hellos);
+    assert!(bench.is_running(run(0, 1)));
+    assert_eq!(dials_of_entry_1(&bench), dials);
+}
+
+/// Returns an agent whose dial of `entry-1` is open although the entry was deselected meanwhile and selected again.
+fn bench_with_a_dial_of_a_reselected_entry() -> AgentBench {
     let record = |number: u64, millicores: u64| EntryRecord {
         address: SmolStr::new(format!("entry-{number}")),
         zone: Some("zone-0".parse().expect("a valid name")),
@@ -73,15 +135,34 @@
     };
     let others = |millicores: u64| (3..40).map(move |number| record(number, millicores));
     let mut bench = AgentBench::settled(1);
-    let dials = |bench: &AgentBench| bench.dials.iter().filter(|address| *address == "entry-1").count();
     bench.advance(100);
-    assert_eq!(dials(&bench), 1);
+    assert_eq!(dials_of_entry_1(&bench), 1);
     // The records of larger entries are read, and then they are replaced by smaller ones.
     bench.deliver(RunnerEvent::EntriesRead(others(1_000_000).chain([record(1, 1)]).collect()));
     bench.advance(200);
     bench.deliver(RunnerEvent::EntriesRead(others(1).chain([record(1, 1_000_000)]).collect()));
     bench.advance(600);
-    assert_eq!(dials(&bench), 1, "the first dial has neither succeeded nor failed");
+    bench
+}
+
+fn dials_of_entry_1(bench: &AgentBench) -> usize {
+    bench.dials.iter().filter(|address| *address == "entry-1").count()
+}
+
+// Guards against the second session of the tests above: a dial that is open when its entry is deselected and selected again.
+#[test]
+fn entry_is_not_dialed_again_while_a_dial_is_open() {
+    let bench = bench_with_a_dial_of_a_reselected_entry();
+    assert_eq!(dials_of_entry_1(&bench), 1, "the first dial has neither succeeded nor failed");
+}
+
+// Guards against an entry that is not dialed any more because its dial was open when it was selected again.
+#[test]
+fn reselected_entry_is_dialed_again_once_its_dial_has_failed() {
+    let mut bench = bench_with_a_dial_of_a_reselected_entry();
+    bench.deliver(RunnerEvent::SessionClosed { session: None, address: SmolStr::new_static("entry-1") });
+    bench.advance(800);
+    assert_eq!(dials_of_entry_1(&bench), 2);
 }
 
 // Guards against an order that arrives on a session that the agent has closed, after the hello of the next one.
