The time of a step is read after its events are taken

What callers could see: two runs of a task at once, if the control thread was not scheduled between reading the clock and draining its events.

Cause: `run_control` read the clock when it woke and drained the channel afterwards. An event that arrived in between was handled with an earlier time. A worker's clock in it then counted as read before it was sent, so the bound on that clock, and every lease end computed from it, was too high by the length of the gap. The estimate is only raised, so later readings did not correct it.

Why it works: the clock is read after the last event was received, so it is never before any event of the batch. A later time is the safe side for every lease and reading. `lag` is the wait of the first event until the same instant. The tick is decided by that time too, so its period is counted from the times that steps see. The stall log splits the loop at that instant, without a gap: a stop during the drain now belongs to the phase `waiting`, before to `handling`.

--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -96,7 +96,8 @@
     spawn_batch_thread(name, pause, tick, step_batch)
 }
 
-/// Starts a control thread like [`spawn_control_thread`], which calls `step` with all events that are waiting.
+/// Starts a control thread like [`spawn_control_thread`], which calls `step` with all events that are waiting. The time that it
+/// passes is not earlier than any of these events.
 pub fn spawn_batch_thread<E: Send + 'static>(
     name: &str,
     pause: PauseSwitch,
@@ -123,27 +124,29 @@
         let until_tick = TICK_INTERVAL.saturating_sub(time_since_boot().saturating_sub(last_tick_at));
         let first = receiver.recv_timeout(until_tick);
         pause.wait_while_paused();
-        let woken_at = time_since_boot();
         let mut batch = EventBatch { events: Vec::new(), lag: Duration::ZERO };
-        match first {
+        let first_sent_at = match first {
             Ok((sent_at, event)) => {
-                batch.lag = woken_at.saturating_sub(sent_at);
                 batch.events.push(event);
                 batch.events.extend(receiver.try_iter().take(BATCH_EVENTS_MAX - 1).map(|(_, event)| event));
+                Some(sent_at)
             }
-            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
-        }
-        if woken_at.saturating_sub(last_tick_at) >= TICK_INTERVAL {
-            last_tick_at = woken_at;
+        };
+        // Read after the events were taken: a reading of another process's clock must not count as received before it was sent.
+        let taken_at = time_since_boot();
+        batch.lag = first_sent_at.map_or(Duration::ZERO, |sent_at| taken_at.saturating_sub(sent_at));
+        if taken_at.saturating_sub(last_tick_at) >= TICK_INTERVAL {
+            last_tick_at = taken_at;
             batch.events.push(tick());
         }
         let events = batch.events.len();
-        waiting_stalls.record(woken_at.saturating_sub(handled_at), events);
-        let now = MonoTime::from_elapsed(woken_at.saturating_sub(started_at));
+        waiting_stalls.record(taken_at.saturating_sub(handled_at), events);
+        let now = MonoTime::from_elapsed(taken_at.saturating_sub(started_at));
         let is_stopped = !batch.events.is_empty() && step(now, batch) == ControlStep::Stop;
         handled_at = time_since_boot();
-        handling_stalls.record(handled_at.saturating_sub(woken_at), events);
+        handling_stalls.record(handled_at.saturating_sub(taken_at), events);
         if is_stopped {
             return;
         }
@@ -152,7 +155,7 @@
 
 /// Logs and counts the stalls in one phase of a control thread's loop.
 struct StallLog {
-    /// `waiting` for the time between two steps, `handling` for the time from when a batch was taken until it was handled.
+    /// `waiting` for the time from one step until the next batch was taken, `handling` for the time from then until it was handled.
     phase: &'static str,
     length: Histogram,
 }
