Daemons install their stop signals before they serve anything

What callers could see: a broken connection, and the runs of an agent or an entry lost without a drain, when its process was asked to exit shortly after its start.

Cause: SIGTERM and SIGINT were handled from `ProcessHandle::run` on, the last step of a start. The listening ports accept some milliseconds earlier, and until then the signal killed the process.

Evidence: `early_stop` starts 12 entries and 12 agents and asks each to exit as soon as its port accepts.

Why it works: `StopSignal::install` is the first step of each daemon's `run`, and `ProcessHandle::run` takes its value, so that no daemon can wait for a signal that it has not installed. A signal that comes during the start is kept, and the daemon drains once it has started. The handlers belong to the programs and not to the runtimes, because tests and the cli run daemons in their own process.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::ids::{Incarnation, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::settings::AgentSettings;
-use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime};
+use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal};
 
 use crate::agent_input::AgentInput;
 use crate::control_loop::ControlLoop;
@@ -61,9 +61,9 @@
         self.process.drain(AgentInput::Event(AgentEvent::Drain));
     }
 
-    /// Waits for SIGTERM or SIGINT, then drains the agent.
-    pub fn run(self) -> Result<(), Report<DaemonError>> {
-        self.process.run(AgentInput::Event(AgentEvent::Drain))
+    /// Waits for a signal that asks the process to exit, then drains the agent.
+    pub fn run(self, stop: StopSignal) {
+        self.process.run(stop, AgentInput::Event(AgentEvent::Drain));
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,4 +26,4 @@
 pub use request_body::{BodyError, JsonBody, TextBody};
 pub use settings_file::{load_settings, parse_settings, DaemonError};
 pub use settings_reload::{diff_settings, follow_reloads, ReloadFlag, SettingChange};
-pub use signals::wait_for_stop_signal;
+pub use signals::{wait_for_stop_signal, StopSignal};
--- a/crates/daemon/src/process_handle.rs
+++ b/crates/daemon/src/process_handle.rs
@@ -3,12 +3,9 @@
 use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
 
-use error_stack::{Report, ResultExt};
-
 use crate::control_thread::{EventSender, PauseSwitch};
 use crate::process_runtime::ProcessRuntime;
-use crate::settings_file::DaemonError;
-use crate::signals::wait_for_stop_signal;
+use crate::signals::StopSignal;
 
 /// Sends events from I/O tasks to the control thread. It can be created and cloned before that thread is started.
 #[derive(Debug)]
@@ -80,11 +77,10 @@
         self.join();
     }
 
-    /// Waits for SIGTERM or SIGINT, then drains the daemon with `event`.
-    pub fn run(self, event: E) -> Result<(), Report<DaemonError>> {
-        self.runtime.block_on(wait_for_stop_signal()).change_context(DaemonError::Start)?;
+    /// Waits for a signal that asks the process to exit, then drains the daemon with `event`.
+    pub fn run(self, stop: StopSignal, event: E) {
+        stop.wait();
         self.drain(event);
-        Ok(())
     }
 
     fn join(&mut self) {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::settings::EntrySettings;
 use vanillacleat_core::ticket::TicketSecret;
-use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime};
+use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal};
 use vanillacleat_etcd_gateway::{PlatformClient, PlatformOptions};
 
 use crate::control_loop::ControlLoop;
@@ -73,9 +73,9 @@
         self.process.drain(EntryInput::Event(EntryEvent::Drain));
     }
 
-    /// Waits for SIGTERM or SIGINT, then drains the entry.
-    pub fn run(self) -> Result<(), Report<DaemonError>> {
-        self.process.run(EntryInput::Event(EntryEvent::Drain))
+    /// Waits for a signal that asks the process to exit, then drains the entry.
+    pub fn run(self, stop: StopSignal) {
+        self.process.run(stop, EntryInput::Event(EntryEvent::Drain));
     }
 }
 
--- a/crates/runs-daemon/src/agent_daemon.rs
+++ b/crates/runs-daemon/src/agent_daemon.rs
@@ -8,7 +8,9 @@
 use tokio::sync::oneshot;
 use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::run_frames::EntryRecord;
-use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime};
+use vanillacleat_daemon::{
+    install_metrics, spawn_control_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
+};
 use vanillacleat_runs::agent::{RunnerControl, RunnerEvent, RunnerOptions, WorkerNotice};
 
 use crate::agent_loop::{AgentInput, AgentLoop, WorkerPort};
@@ -91,8 +93,8 @@
 
     /// Waits until the process is asked to exit, then drains: waits until its runs have ended or the drain timeout has
     /// passed.
-    pub fn run(self) -> Result<(), Report<DaemonError>> {
-        self.process.run(AgentInput::Event(RunnerEvent::Drain))
+    pub fn run(self, stop: StopSignal) {
+        self.process.run(stop, AgentInput::Event(RunnerEvent::Drain));
     }
 }
 
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -11,7 +11,9 @@
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
-use vanillacleat_daemon::{install_metrics, spawn_batch_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime};
+use vanillacleat_daemon::{
+    install_metrics, spawn_batch_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
+};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchControl, DispatchEvent, DispatchOptions};
 use vanillacleat_wire::{run_session, serve_listener, session_queue, IncomingStream, SessionStream};
 
@@ -133,8 +135,8 @@
 
     /// Waits until the process is asked to exit, then drains: waits until its open jobs have ended or the drain timeout
     /// has passed.
-    pub fn run(self) -> Result<(), Report<DaemonError>> {
-        self.process.run(EntryInput::Event(DispatchEvent::Drain))
+    pub fn run(self, stop: StopSignal) {
+        self.process.run(stop, EntryInput::Event(DispatchEvent::Drain));
     }
 }
 
