The end of a former order is not taken for that of a later one

Callers saw a task run twice without a bound after a link had been interrupted: the entry gave the run up, the job was removed and submitted again at the same entry, and its runs were counted from one again. The agent then received the old order, answered it as closed, and the entry took that for the end of the new run 1, which went on beside run 2.

Cause: ends, progress, stops and the unsettled runs of a hello named only the run, and a run id repeats.

Evidence: session_order::end_of_a_former_order_is_not_taken_for_that_of_a_later_one failed with delays of 5 and 100 ms before. The two double runs lasted until the end of the test.

Mend: each order has an id, made of the incarnation of the entry's process and a number that rises, so it never repeats, also not at a restarted entry. Ends, progress, stops and hellos carry it. An entry takes an end or a progress only if the task was sent with that order, and a run counts as ended on a hello unless that order is listed. An agent stops a run only for its own order, so session_order::stop_of_another_entry_stops_no_run passes as well.

Tests that construct frames got an order id: a fixed one, or that of the start that they answer.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -35,7 +35,7 @@
     /// Version of the site plan that the agent holds.
     pub plan_version: u64,
     /// Runs from earlier sessions with this entry that may still be running.
-    pub unsettled: Vec<RunId>,
+    pub unsettled: Vec<OrderedRun>,
 }
 
 /// The place of a session among all sessions that the processes of one agent open. Sessions are separate connections, so a
@@ -54,6 +54,31 @@
     }
 }
 
+/// Identifies an order to start a run. A [`RunId`] may be ordered again, by another entry or after its job was removed and
+/// submitted again, because the runs of a job are counted from one at each entry. An order id never repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrderId {
+    /// The incarnation of the entry that sent the order.
+    pub entry: Incarnation,
+    /// The number of the order within the incarnation, counted from one.
+    pub number: u64,
+}
+
+impl fmt::Display for OrderId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.entry, self.number)
+    }
+}
+
+/// A run with the order that started it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrderedRun {
+    /// The run.
+    pub run: RunId,
+    /// The order.
+    pub order: OrderId,
+}
+
 /// Reports what changed since the previous report, and how much of the worker is in use.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
@@ -101,6 +126,8 @@
 pub struct RunProgress {
     /// The run.
     pub run: RunId,
+    /// The order that started it.
+    pub order: OrderId,
     /// Share of the work that is done, in percent.
     pub percent: u8,
     /// Time since the start of the run.
@@ -112,6 +139,8 @@
 pub struct RunEnd {
     /// The run.
     pub run: RunId,
+    /// The order that this answers.
+    pub order: OrderId,
     /// The outcome of the run.
     pub outcome: RunOutcome,
     /// Time from the start call to the end of the run.
@@ -258,7 +287,7 @@
     /// Runs to start.
     pub starts: Vec<RunStart>,
     /// Runs to stop.
-    pub stops: Vec<RunId>,
+    pub stops: Vec<OrderedRun>,
 }
 
 /// One run to start.
@@ -266,6 +295,8 @@
 pub struct RunStart {
     /// The run.
     pub run: RunId,
+    /// Identifies this order.
+    pub order: OrderId,
     /// Resources that the run occupies.
     pub demand: ResourceAmount,
     /// Index of the task's payload in [`RunOrders::payloads`].
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -9,6 +9,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::ReplyId;
+use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_daemon::{install_metrics, spawn_batch_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime};
@@ -141,6 +142,7 @@
 fn make_options(settings: &RunsEntrySettings) -> DispatchOptions {
     let drain_timeout = settings.leases.drain_timeout();
     DispatchOptions {
+        incarnation: Incarnation(rand::random()),
         zone: settings.zone.clone(),
         lease_terms: settings.leases.lease_terms(),
         resubmit_after: settings.leases.resubmit_ms.to_duration(),
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{ResourceAmount, RunId};
-use vanillacleat_core::run_frames::RunProgress;
+use vanillacleat_core::run_frames::{OrderId, RunProgress};
 use vanillacleat_core::units::{Millis, MonoTime};
 
 /// How long ended runs are retained. No call to a worker stays open longer, so a reply that still lists an ended run as
@@ -77,6 +77,8 @@
 /// One run and its state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
+    /// The order that started the run.
+    pub order: OrderId,
     /// The session with the entry that ordered the run; absent while there is none.
     pub owner: Option<SessionId>,
     /// Address of the entry that ordered the run.
@@ -188,7 +190,7 @@
         let progress = owned.filter_map(|(run, record)| match record.state {
             RunState::Running { percent, listed_at } => {
                 let elapsed = Millis::from_duration(listed_at.since(record.started_at));
-                Some(RunProgress { run: *run, percent, elapsed })
+                Some(RunProgress { run: *run, order: record.order, percent, elapsed })
             }
             RunState::Queued | RunState::Starting { .. } | RunState::Stopping { .. } => None,
         });
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -4,7 +4,7 @@
 
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
-use vanillacleat_core::run_frames::{EndSign, OrderFrame, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{EndSign, OrderFrame, OrderedRun, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 
@@ -61,7 +61,12 @@
             let payload = payloads.get(usize::from(start.payload)).cloned().unwrap_or_default();
             self.handle_start(session, start, payload, MonoTime::from_millis(leased_from.0));
         }
-        stops.iter().for_each(|run| self.stop_run(run, StopCause::Ordered));
+        // An order that has ended can't be stopped any more, even if its run was ordered again.
+        for OrderedRun { run, order } in stops {
+            if self.runs.get(&run).is_some_and(|record| record.order == order) {
+                self.stop_run(&run, StopCause::Ordered);
+            }
+        }
     }
 
     fn handle_start(&mut self, session: SessionId, start: RunStart, payload: smol_str::SmolStr, leased_from: MonoTime) {
@@ -70,6 +75,7 @@
         };
         let may_start = lease.is_valid(self.now) && !lease.is_retiring && self.accepts_starts();
         let record = RunRecord {
+            order: start.order,
             owner: Some(session),
             entry: lease.address.clone(),
             demand: start.demand,
@@ -301,7 +307,7 @@
         self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran} {evidence}", record.entry));
         let lease = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
         if let Some(lease) = lease {
-            lease.ends.push(RunEnd { run: *run, outcome, ran, evidence });
+            lease.ends.push(RunEnd { run: *run, order: record.order, outcome, ran, evidence });
         }
     }
 }
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::ProcessStart;
-use vanillacleat_core::run_frames::{EntryRecord, RunFrame, RunHello, RunReport, SessionOrder};
+use vanillacleat_core::run_frames::{EntryRecord, OrderedRun, RunFrame, RunHello, RunReport, SessionOrder};
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::{RunnerAction, RunnerControl};
@@ -38,7 +38,7 @@
         let mut unsettled = Vec::new();
         for (run, record) in self.runs.iter_mut().filter(|(_, record)| record.entry == address && record.owner.is_none()) {
             record.owner = Some(session);
-            unsettled.push(*run);
+            unsettled.push(OrderedRun { run: *run, order: record.order });
         }
         self.log(format!("event=entry_found entry={address} unsettled={}", unsettled.len()));
         self.sessions.insert(session, SessionLease::new(self.now, address));
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -10,7 +10,7 @@
 
 use serde_json::{json, Value};
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::ids::{AgentId, ZoneName};
+use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
 use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunOrders};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
@@ -36,6 +36,8 @@
 /// The options that an entry starts with.
 #[derive(Clone, Debug)]
 pub struct DispatchOptions {
+    /// Identifies this run of the entry's process.
+    pub incarnation: Incarnation,
     /// The entry's availability zone.
     pub zone: ZoneName,
     /// Durations of the leases.
@@ -141,6 +143,8 @@
     worker_registry: WorkerRegistry,
     route_times: RouteTimes,
     load: EntryLoad,
+    /// Number of the last order to start a run.
+    last_order: u64,
     /// Orders that the current event has produced, by session.
     pending_orders: BTreeMap<SessionId, RunOrders>,
     /// When the first report was received whose nonce has not been echoed yet, by session.
@@ -172,6 +176,7 @@
             worker_registry,
             route_times: RouteTimes::default(),
             load,
+            last_order: 0,
             pending_orders: BTreeMap::new(),
             pending_echoes: BTreeMap::new(),
             sent_route_versions: BTreeMap::new(),
@@ -299,7 +304,7 @@
                 "phase": format!("{:?}", job.phase()),
                 "arrived": job.arrived_at.to_string(),
                 "wanted": job.times.target_at.to_string(),
-                "runs": job.sent_runs().iter().map(|(run, agent)| format!("{run}@{agent}")).collect::<Vec<_>>(),
+                "runs": job.sent_runs().iter().map(|(sent, agent)| format!("{}@{agent}", sent.run)).collect::<Vec<_>>(),
             })
         });
         let workers = self.worker_registry.workers().map(|worker| {
--- a/crates/runs/src/entry/dispatch/performance.rs
+++ b/crates/runs/src/entry/dispatch/performance.rs
@@ -4,7 +4,7 @@
 
 use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::{RunEnd, RunOutcome, RunProgress};
+use vanillacleat_core::run_frames::{OrderedRun, RunEnd, RunOutcome, RunProgress};
 
 use super::DispatchControl;
 use crate::entry::straggler_rule::RunForecast;
@@ -54,6 +54,10 @@
     /// a healthy worker would end sooner even if it started from the beginning.
     pub(super) fn record_progress(&mut self, agent: &AgentId, progress: &[RunProgress]) {
         for run_progress in progress.iter().filter(|run_progress| run_progress.elapsed.to_duration() >= FORECAST_AGE_MIN) {
+            let run = OrderedRun { run: run_progress.run, order: run_progress.order };
+            if !self.job_table.is_sent(agent, &run) {
+                continue;
+            }
             let forecast = RunForecast::new(run_progress.elapsed.to_duration(), run_progress.percent);
             let Some(expected) = self.expected_run_time(&run_progress.run) else {
                 continue;
@@ -65,7 +69,7 @@
                     forecast.total.as_secs_f64() / expected.as_secs_f64().max(0.001),
                 );
             }
-            self.relocate_straggler(agent, &run_progress.run, &forecast);
+            self.relocate_straggler(agent, &run, &forecast);
         }
     }
 
@@ -75,7 +79,7 @@
         Some(self.route_times.expected_run_time(&job.route.name, step.estimate.to_duration()))
     }
 
-    fn relocate_straggler(&mut self, agent: &AgentId, run: &RunId, forecast: &RunForecast) {
+    fn relocate_straggler(&mut self, agent: &AgentId, run: &OrderedRun, forecast: &RunForecast) {
         let slowness = self.worker_registry.get(agent).and_then(|worker| worker.performance.slowness(self.now));
         let Some(slowness) = slowness.filter(|_| self.slow_agents.contains(agent)) else {
             return;
@@ -84,7 +88,8 @@
             return;
         }
         if let Some(effect) = self.job_table.relocate(run) {
-            self.log(format!("event=run_moved run={run} agent={agent} slowness={slowness:.1} left_ms={}", forecast.remaining.as_millis()));
+            let left_ms = forecast.remaining.as_millis();
+            self.log(format!("event=run_moved run={} agent={agent} slowness={slowness:.1} left_ms={left_ms}", run.run));
             self.apply_effects(vec![effect]);
         }
     }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -6,7 +6,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::RunStart;
+use vanillacleat_core::run_frames::{OrderId, RunStart};
 use vanillacleat_core::site_plan::RouteRule;
 
 use super::{DispatchAction, DispatchControl, Measurement};
@@ -91,9 +91,11 @@
         }) else {
             return;
         };
-        let Some(run) = self.job_table.mark_sent(task, agent) else {
+        let order = OrderId { entry: self.options.incarnation, number: self.last_order + 1 };
+        let Some(run) = self.job_table.mark_sent(task, agent, order) else {
             return;
         };
+        self.last_order = order.number;
         if is_first {
             let measurement = Measurement::Placed { priority, after: self.now.since(arrived_at) };
             self.actions.push(DispatchAction::Measured(measurement));
@@ -105,7 +107,7 @@
             orders.payloads.push(payload.clone());
         }
         let index = orders.payloads.len() - 1;
-        orders.starts.push(RunStart { run, demand, payload: index as u16 });
+        orders.starts.push(RunStart { run, order, demand, payload: index as u16 });
         self.log_start(&run, agent, session, is_idle);
     }
 
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -5,7 +5,9 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::{EndEvidence, EndSign, EntryRecord, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport};
+use vanillacleat_core::run_frames::{
+    EndEvidence, EndSign, EntryRecord, OrderFrame, OrderedRun, RunEnd, RunFrame, RunHello, RunOutcome, RunReport,
+};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::Millis;
 
@@ -40,8 +42,8 @@
         };
         // An agent stops all runs of a lost session, so a run that it no longer lists has ended. A new incarnation of an
         // agent opens its first session only after all earlier runs at its worker have ended.
-        let has_ended = |run: &RunId| is_restarted || !hello.unsettled.contains(run);
-        let ended_runs: Vec<RunId> = self.job_table.runs_at(&hello.agent).into_iter().filter(has_ended).collect();
+        let has_ended = |run: &OrderedRun| is_restarted || !hello.unsettled.contains(run);
+        let ended_runs: Vec<OrderedRun> = self.job_table.runs_at(&hello.agent).into_iter().filter(has_ended).collect();
         self.log(format!(
             "event=agent_found agent={} session={session} restarted={is_restarted} unsettled={} plan_version={} ended={} contact_age_ms={} \
              unsettled_runs={}",
@@ -50,7 +52,7 @@
             hello.plan_version,
             ended_runs.len(),
             contact_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string()),
-            format_runs(hello.unsettled.iter())
+            format_runs(hello.unsettled.iter().map(|unsettled| &unsettled.run))
         ));
         let sign = if is_restarted { EndSign::AgentRestarted } else { EndSign::NotUnsettled };
         let evidence = self.agent_evidence(sign, contact_age);
@@ -121,7 +123,7 @@
             self.worker_registry.record_rejection(self.now, agent);
         }
         if end.outcome != RunOutcome::Done {
-            let RunEnd { run, outcome, ran, evidence } = end;
+            let RunEnd { run, outcome, ran, evidence, .. } = end;
             self.log(format!("event=run_back run={run} agent={agent} outcome={outcome:?} ran_ms={ran} {evidence}"));
         }
         self.apply_effects(ended.effects);
@@ -129,19 +131,20 @@
 
     /// Logs the end of a run that is not at the agent any more as far as this entry knows.
     fn log_stale_end(&mut self, agent: &AgentId, end: &RunEnd) {
-        let RunEnd { run, outcome, ran, evidence } = end;
+        let RunEnd { run, order, outcome, ran, evidence } = end;
         let expected = match self.job_table.last_run(&run.task) {
             None => "none".to_owned(),
             Some((number, None)) => format!("{number}@none"),
             Some((number, Some(sent_to))) => format!("{number}@{sent_to}"),
         };
         self.log(format!(
-            "event=run_back run={run} agent={agent} outcome={outcome:?} ran_ms={ran} {evidence} stale=true expected={expected}"
+            "event=run_back run={run} agent={agent} outcome={outcome:?} ran_ms={ran} {evidence} stale=true order={order} expected={expected}"
         ));
     }
 
-    fn handle_lost_run(&mut self, agent: &AgentId, run: RunId, evidence: EndEvidence) {
-        self.handle_run_end(agent, &RunEnd { run, outcome: RunOutcome::Lost, ran: Millis(0), evidence });
+    fn handle_lost_run(&mut self, agent: &AgentId, lost: OrderedRun, evidence: EndEvidence) {
+        let OrderedRun { run, order } = lost;
+        self.handle_run_end(agent, &RunEnd { run, order, outcome: RunOutcome::Lost, ran: Millis(0), evidence });
     }
 
     /// Returns the evidence for the ends of the runs of an agent with which the last contact was `contact_age` ago.
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -6,7 +6,7 @@
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::{RunEnd, RunOutcome};
+use vanillacleat_core::run_frames::{OrderId, OrderedRun, RunEnd, RunOutcome};
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_api::{CallerAnswer, JobPhase};
@@ -40,7 +40,7 @@
         /// The agent that the run was sent to.
         agent: AgentId,
         /// The run.
-        run: RunId,
+        run: OrderedRun,
     },
 }
 
@@ -145,28 +145,38 @@
         self.ready.iter().filter_map(|id| self.jobs.get(id))
     }
 
-    /// Records that a waiting task is sent to an agent. Returns the run, or `None` if the task is not waiting.
-    pub fn mark_sent(&mut self, task: &TaskId, agent: &AgentId) -> Option<RunId> {
+    /// Records that a waiting task is sent to an agent with an order. Returns the run, or `None` if the task is not waiting.
+    pub fn mark_sent(&mut self, task: &TaskId, agent: &AgentId, order: OrderId) -> Option<RunId> {
         let job = self.jobs.get_mut(&task.job)?;
         job.last_agent = Some(agent.clone());
         let slot = job.slot_mut(task).filter(|slot| slot.state == SlotState::Waiting)?;
         slot.runs += 1;
-        slot.state = SlotState::Sent { agent: agent.clone(), is_stopping: false };
+        slot.state = SlotState::Sent { agent: agent.clone(), order, is_stopping: false };
         let run = RunId { task: *task, run: slot.runs };
         self.update_ready(&task.job);
         Some(run)
     }
 
-    /// Records the end of a run as reported by an agent. Ignores the report and returns `None` if the run is not at the
-    /// agent.
+    /// Returns whether a run was sent to an agent with an order whose end has not been reported.
+    pub fn is_sent(&self, agent: &AgentId, run: &OrderedRun) -> bool {
+        let task = &run.run.task;
+        let steps = self.jobs.get(&task.job).map(|job| &job.steps);
+        let slot = steps.and_then(|steps| steps.get(usize::from(task.step))?.get(usize::from(task.index)));
+        slot.is_some_and(
+            |slot| matches!(&slot.state, SlotState::Sent { agent: sent_to, order, .. } if sent_to == agent && *order == run.order),
+        )
+    }
+
+    /// Records the end of a run as reported by an agent. Ignores the report and returns `None` if the agent does not have the
+    /// run by this order: the run may have ended for this entry and have been ordered again since.
     pub fn record_run_end(&mut self, now: MonoTime, agent: &AgentId, end: &RunEnd) -> Option<EndedRun> {
+        if !self.is_sent(agent, &OrderedRun { run: end.run, order: end.order }) {
+            return None;
+        }
         let id = end.run.task.job;
         let job = self.jobs.get_mut(&id)?;
         let demand = job.job.steps.get(usize::from(end.run.task.step))?.demand;
-        let slot = job.slot_mut(&end.run.task).filter(|slot| slot.runs == end.run.run)?;
-        if !matches!(&slot.state, SlotState::Sent { agent: sent_to, .. } if sent_to == agent) {
-            return None;
-        }
+        let slot = job.slot_mut(&end.run.task)?;
         slot.state = if end.outcome == RunOutcome::Done { SlotState::Done } else { SlotState::Waiting };
         slot.former_run = Some(FormerRun { outcome: end.outcome, evidence: end.evidence, ended_at: now });
         if end.outcome == RunOutcome::Failed {
@@ -197,18 +207,21 @@
     }
 
     /// Returns the runs that were sent to an agent and whose ends have not been reported.
-    pub fn runs_at(&self, agent: &AgentId) -> Vec<RunId> {
+    pub fn runs_at(&self, agent: &AgentId) -> Vec<OrderedRun> {
         let sent = self.jobs.values().flat_map(OpenJob::sent_runs);
         sent.filter(|(_, sent_to)| sent_to == agent).map(|(run, _)| run).collect()
     }
 
     /// Stops a run and excludes its agent, so that the task is placed on another worker. Returns `None` if the run has
     /// ended or is already being stopped.
-    pub fn relocate(&mut self, run: &RunId) -> Option<JobEffect> {
-        let slot = self.jobs.get_mut(&run.task.job)?.slot_mut(&run.task).filter(|slot| slot.runs == run.run)?;
-        let SlotState::Sent { agent, is_stopping: is_stopping @ false } = &mut slot.state else {
+    pub fn relocate(&mut self, run: &OrderedRun) -> Option<JobEffect> {
+        let slot = self.jobs.get_mut(&run.run.task.job)?.slot_mut(&run.run.task)?;
+        let SlotState::Sent { agent, order, is_stopping: is_stopping @ false } = &mut slot.state else {
             return None;
         };
+        if *order != run.order {
+            return None;
+        }
         *is_stopping = true;
         let agent = agent.clone();
         slot.excluded.push(agent.clone());
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -6,7 +6,7 @@
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::caller_job::{CallerJob, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::{EndEvidence, RunOutcome};
+use vanillacleat_core::run_frames::{EndEvidence, OrderId, OrderedRun, RunOutcome};
 use vanillacleat_core::site_plan::RouteRule;
 use vanillacleat_core::units::MonoTime;
 
@@ -22,6 +22,8 @@
     Sent {
         /// The agent.
         agent: AgentId,
+        /// The order that was sent.
+        order: OrderId,
         /// Whether the run was ordered to stop.
         is_stopping: bool,
     },
@@ -169,13 +171,13 @@
     }
 
     /// Returns the runs that were sent and whose ends have not been reported, with their agents.
-    pub fn sent_runs(&self) -> Vec<(RunId, AgentId)> {
+    pub fn sent_runs(&self) -> Vec<(OrderedRun, AgentId)> {
         let slots =
             self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
         let sent = slots.filter_map(|(step, index, slot)| match &slot.state {
-            SlotState::Sent { agent, .. } => {
+            SlotState::Sent { agent, order, .. } => {
                 let task = TaskId { job: self.job.id, step: step as u16, index: index as u16 };
-                Some((RunId { task, run: slot.runs }, agent.clone()))
+                Some((OrderedRun { run: RunId { task, run: slot.runs }, order: *order }, agent.clone()))
             }
             SlotState::Waiting | SlotState::Done => None,
         });
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -8,7 +8,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunFrame, RunHello, RunOrders, RunReport, RunStart, SessionOrder, WorkerInfo};
+use vanillacleat_core::run_frames::{OrderFrame, OrderId, RunFrame, RunHello, RunOrders, RunReport, RunStart, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     LeasePollReply, RunList, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, StopReply, WorkerCall, WorkerNotice, WorkerReply,
@@ -26,6 +26,11 @@
     RunId { task: TaskId { job: CallerJobId(0xabc), step: 0, index: 1 }, run: number }
 }
 
+/// Returns the order that starts a run.
+fn order(run: &RunId) -> OrderId {
+    OrderId { entry: Incarnation(1), number: u64::from(run.run) }
+}
+
 /// An agent with a settled worker and one session. Records what the agent does.
 struct AgentHarness {
     agent: RunnerControl,
@@ -82,7 +87,7 @@
 
     /// Delivers the entry's orders to start runs. They renew the lease from the time of a report.
     fn order_starts(&mut self, at: u64, leased_from: u64, starts: &[RunId]) {
-        let starts = starts.iter().map(|run| RunStart { run: *run, demand: DEMAND, payload: 0 }).collect();
+        let starts = starts.iter().map(|run| RunStart { run: *run, order: order(run), demand: DEMAND, payload: 0 }).collect();
         let orders = RunOrders { leased_from: Millis(leased_from), payloads: vec![SmolStr::new_static("text")], starts, stops: Vec::new() };
         self.deliver(at, RunnerEvent::Frame { session: SESSION, frame: OrderFrame::Orders(orders) });
     }
--- a/crates/runs/tests/placement.rs
+++ b/crates/runs/tests/placement.rs
@@ -10,7 +10,9 @@
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{EndEvidence, OrderFrame, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, SessionOrder, WorkerInfo};
+use vanillacleat_core::run_frames::{
+    EndEvidence, OrderFrame, OrderId, RunEnd, RunFrame, RunHello, RunOutcome, RunReport, SessionOrder, WorkerInfo,
+};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, JobDraft, RequestKind};
 
@@ -22,14 +24,14 @@
     /// Number of starts sent on each session.
     starts: BTreeMap<u64, usize>,
     answers: Vec<CallerAnswer>,
-    /// Session on which the last start was sent.
-    last_session: Option<SessionId>,
+    /// The last order to start a run, with its session.
+    last_order: Option<(SessionId, OrderId)>,
 }
 
 impl EntryHarness {
     fn new() -> Self {
         let mut harness =
-            Self { entry: DispatchControl::new(make_options(0)), starts: BTreeMap::new(), answers: Vec::new(), last_session: None };
+            Self { entry: DispatchControl::new(make_options(0)), starts: BTreeMap::new(), answers: Vec::new(), last_order: None };
         harness.deliver(DispatchEvent::PlanRead(make_plan(9)));
         (0..3).for_each(|number| harness.add_worker(number));
         harness
@@ -64,8 +66,8 @@
             match action {
                 DispatchAction::Send { session, frame: OrderFrame::Orders(orders) } => {
                     *self.starts.entry(session.0).or_default() += orders.starts.len();
-                    if !orders.starts.is_empty() {
-                        self.last_session = Some(session);
+                    if let Some(start) = orders.starts.last() {
+                        self.last_order = Some((session, start.order));
                     }
                 }
                 DispatchAction::Reply { answer, .. } => self.answers.push(answer),
@@ -117,10 +119,15 @@
     harness.submit(step(1));
     for run in 1..=4 {
         assert_eq!(harness.starts_per_worker().iter().sum::<usize>(), run, "{:?}", harness.starts);
-        let session = harness.last_session.expect("a start was sent");
+        let (session, order) = harness.last_order.expect("a start was sent");
         let task = TaskId { job: CallerJobId(0xab), step: 0, index: 0 };
-        let end =
-            RunEnd { run: RunId { task, run: run as u32 }, outcome: RunOutcome::Failed, ran: Millis(10), evidence: EndEvidence::default() };
+        let end = RunEnd {
+            run: RunId { task, run: run as u32 },
+            order,
+            outcome: RunOutcome::Failed,
+            ran: Millis(10),
+            evidence: EndEvidence::default(),
+        };
         let report = RunReport { sent_at: Millis(2), needs_answer: true, ends: vec![end], ..RunReport::default() };
         harness.deliver(DispatchEvent::Frame { session, frame: RunFrame::Report(report) });
     }
--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -6,7 +6,9 @@
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::ids::{Incarnation, ProcessStart};
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder};
+use vanillacleat_core::run_frames::{
+    EntryRecord, OrderFrame, OrderId, OrderedRun, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder,
+};
 use vanillacleat_core::units::Millis;
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
 use vanillacleat_runs::entry::DispatchEvent;
@@ -186,7 +188,7 @@
     bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(1)), address: SmolStr::new_static("entry-1") });
     bench.deliver(RunnerEvent::SessionOpened { session: SessionId(3), address: SmolStr::new_static("entry-1") });
     let (_, hello) = bench.hellos.last().expect("a hello was sent");
-    assert_eq!(hello.unsettled, vec![run(0, 1)]);
+    assert_eq!(hello.unsettled, vec![OrderedRun { run: run(0, 1), order: bench.orders[&run(0, 1)] }]);
 }
 
 // Guards against the end of an order that the entry had given up, which is taken for the end of a later order of the same number:
@@ -238,11 +240,12 @@
     let mut bench = AgentBench::new();
     bench.order_start(1, run(0, 1));
     bench.advance(30);
+    let order = OrderId { entry: Incarnation(2), number: 1 };
     let orders = RunOrders {
         leased_from: Millis(bench.now()),
         payloads: vec![SmolStr::new_static("text")],
-        starts: vec![RunStart { run: run(0, 1), demand: DEMAND, payload: 0 }],
-        stops: vec![run(0, 1)],
+        starts: vec![RunStart { run: run(0, 1), order, demand: DEMAND, payload: 0 }],
+        stops: vec![OrderedRun { run: run(0, 1), order }],
     };
     bench.deliver(RunnerEvent::Frame { session: SessionId(2), frame: OrderFrame::Orders(orders) });
     bench.advance(500);
--- a/crates/runs/tests/silent_worker.rs
+++ b/crates/runs/tests/silent_worker.rs
@@ -2,7 +2,7 @@
 //! that it made before are sent after the pause.
 
 use rstest::rstest;
-use vanillacleat_core::run_frames::{OrderFrame, RunOrders};
+use vanillacleat_core::run_frames::{OrderFrame, OrderedRun, RunOrders};
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
 
 mod support;
@@ -52,7 +52,7 @@
 fn start_that_is_overtaken_by_its_stop_does_not_run(#[values(100, 98)] clock_percent: u32, #[values(100, 300, 390)] delay: u64) {
     let mut bench = bench_with_unsent_calls(clock_percent);
     let unsent = bench.take_calls();
-    let stops = RunOrders { stops: vec![run(1, 1)], ..RunOrders::default() };
+    let stops = RunOrders { stops: vec![OrderedRun { run: run(1, 1), order: bench.orders[&run(1, 1)] }], ..RunOrders::default() };
     bench.deliver(RunnerEvent::Frame { session: vanillacleat_control::SessionId(1), frame: OrderFrame::Orders(stops) });
     bench.advance(bench.now() + delay);
     for sent in unsent.iter().filter(|sent| is_start(&sent.call)) {
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -8,7 +8,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{OrderFrame, OrderId, RunEnd, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     LeasePollReply, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, StartReply, StopReply, WorkerCall, WorkerNotice, WorkerReply,
@@ -87,6 +87,8 @@
     pub log_lines: Vec<(u64, String)>,
     /// Whether the agent has drained. It then makes no further calls.
     pub is_drained: bool,
+    /// The last order of each run.
+    pub orders: BTreeMap<RunId, OrderId>,
     now: u64,
     /// How long the worker and its clock have stood still, in milliseconds.
     suspended: u64,
@@ -135,6 +137,7 @@
             closed_sessions: Vec::new(),
             log_lines: Vec::new(),
             is_drained: false,
+            orders: BTreeMap::new(),
             now: 0,
             suspended: 0,
             last_call: None,
@@ -176,7 +179,10 @@
 
     /// Delivers the order of an entry to start a run, leased from now.
     pub fn order_start(&mut self, session: u64, run: RunId) {
-        let starts = vec![RunStart { run, demand: DEMAND, payload: 0 }];
+        let number = self.orders.values().map(|order| order.number).max().unwrap_or(0) + 1;
+        let order = OrderId { entry: Incarnation(session), number };
+        self.orders.insert(run, order);
+        let starts = vec![RunStart { run, order, demand: DEMAND, payload: 0 }];
         let orders = RunOrders { leased_from: Millis(self.now), payloads: vec![SmolStr::new_static("text")], starts, stops: Vec::new() };
         self.deliver(RunnerEvent::Frame { session: SessionId(session), frame: OrderFrame::Orders(orders) });
     }
--- a/crates/runs/tests/support/simulation.rs
+++ b/crates/runs/tests/support/simulation.rs
@@ -22,7 +22,7 @@
 use vanillacleat_runs::agent::{
     LeasePollReply, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, StartReply, StopReply, WorkerCall, WorkerNotice, WorkerReply,
 };
-use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent};
+use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, DispatchOptions};
 use vanillacleat_runs::LeaseTerms;
 use vanillacleat_standin::WorkerModel;
 
@@ -363,13 +363,8 @@
 }
 
 fn make_entry(now: MonoTime, entry: usize, incarnation: u64) -> EntryProcess {
-    EntryProcess {
-        control: DispatchControl::new(make_options(entry)),
-        incarnation,
-        started_at: now,
-        paused_until: MonoTime::ZERO,
-        is_up: true,
-    }
+    let options = DispatchOptions { incarnation: Incarnation(incarnation * 100 + entry as u64), ..make_options(entry) };
+    EntryProcess { control: DispatchControl::new(options), incarnation, started_at: now, paused_until: MonoTime::ZERO, is_up: true }
 }
 
 fn make_agent(now: MonoTime, agent: usize, incarnation: u64) -> AgentProcess {
--- a/crates/runs/tests/worker_calls.rs
+++ b/crates/runs/tests/worker_calls.rs
@@ -6,7 +6,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{OrderFrame, OrderId, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     EndedRun, LeasePollReply, RunList, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, RunningTask, StartRejection, StartReply,
@@ -17,6 +17,9 @@
 const SESSION: SessionId = SessionId(7);
 const RUN: RunId = RunId { task: TaskId { job: CallerJobId(0xabc), step: 0, index: 1 }, run: 1 };
 
+/// The order that starts [`RUN`].
+const ORDER: OrderId = OrderId { entry: Incarnation(1), number: 1 };
+
 /// An agent with a settled worker and a session whose lease is valid. Records what the agent does.
 struct AgentHarness {
     agent: RunnerControl,
@@ -79,7 +82,7 @@
         let orders = RunOrders {
             leased_from: self.reported_at,
             payloads: vec![SmolStr::new_static("text")],
-            starts: vec![RunStart { run: RUN, demand, payload: 0 }],
+            starts: vec![RunStart { run: RUN, order: ORDER, demand, payload: 0 }],
             stops: Vec::new(),
         };
         self.deliver(at, RunnerEvent::Frame { session: SESSION, frame: OrderFrame::Orders(orders) });
