A run that several orders name ends for each of them when it ends

Callers whose job was at two entries, because they had resubmitted it, waited until their time was up: the agent ignored an order for a run that it had for another entry. Orders of two entries that had counted the runs of a task differently ran it twice at one worker.

Cause: the agent's table was keyed by the run id, which two entries count independently, and a run had one owner.

Mend: the table holds at most one run of a task, and a run has an owner for each order. A later order for the task joins the run and is told of the end, under its own run id, when the run really ends; at once its entry would place the task elsewhere. The stop of one owner only withdraws that order while another remains; the withdrawn one hears of the end at the end as well. A run still stops if any of its sessions is lost or lapses, also for the other owners: the entry of that session places the task again after the loss timeout. For the same reason an order that arrives without a valid lease stops the run that it joins.

Test: late_answers_stop_the_runs_but_keep_the_session ordered three runs of one task, of which the first had not ended, and required the third to start beside it. It now orders three tasks; the rest is unchanged.

--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -1,11 +1,11 @@
 //! The runs that entries ordered at one worker, each from its order until its end.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
-use vanillacleat_core::caller_job::{ResourceAmount, RunId};
+use vanillacleat_core::caller_job::{ResourceAmount, RunId, TaskId};
 use vanillacleat_core::run_frames::{OrderId, RunProgress};
 use vanillacleat_core::units::{Millis, MonoTime};
 
@@ -74,15 +74,27 @@
     }
 }
 
-/// One run and its state.
+/// An order that a run answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunRecord {
-    /// The order that started the run.
+pub struct RunOwner {
+    /// The run as the entry numbers it. Entries number the runs of a task independently.
+    pub run: RunId,
+    /// The order.
     pub order: OrderId,
-    /// The session with the entry that ordered the run; absent while there is none.
-    pub owner: Option<SessionId>,
-    /// Address of the entry that ordered the run.
+    /// The session with the entry; absent while there is none.
+    pub session: Option<SessionId>,
+    /// Address of the entry.
     pub entry: SmolStr,
+    /// Whether the entry has ordered the run to stop.
+    pub has_withdrawn: bool,
+}
+
+/// One run and its state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The orders that the run answers. There are several if entries ordered runs of the same task at the same time, or one entry did
+    /// so again. The end of the run is reported to each of them.
+    pub owners: Vec<RunOwner>,
     /// The resources that the run occupies.
     pub demand: ResourceAmount,
     /// The task's payload.
@@ -153,6 +165,12 @@
         self.runs.get_mut(run)
     }
 
+    /// Returns the run of a task. The table holds at most one, because the worker must not run a task twice at once.
+    pub fn run_of(&self, task: &TaskId) -> Option<RunId> {
+        let (first, last) = (RunId { task: *task, run: 0 }, RunId { task: *task, run: u32::MAX });
+        self.runs.range(first..=last).next().map(|(run, _)| *run)
+    }
+
     /// Returns all runs, ordered by id.
     pub fn iter(&self) -> impl Iterator<Item = (&RunId, &RunRecord)> {
         self.runs.iter()
@@ -177,20 +195,20 @@
     pub fn used_by_owner(&self) -> BTreeMap<SessionId, ResourceAmount> {
         let mut used: BTreeMap<SessionId, ResourceAmount> = BTreeMap::new();
         for record in self.runs.values() {
-            if let Some(owner) = record.owner {
-                *used.entry(owner).or_default() += record.demand;
-            }
+            let sessions: BTreeSet<SessionId> = record.owners.iter().filter_map(|owner| owner.session).collect();
+            sessions.into_iter().for_each(|session| *used.entry(session).or_default() += record.demand);
         }
         used
     }
 
     /// Returns the progress of one session's running runs.
-    pub fn progress_of(&self, owner: SessionId) -> Vec<RunProgress> {
-        let owned = self.runs.iter().filter(|(_, record)| record.owner == Some(owner));
-        let progress = owned.filter_map(|(run, record)| match record.state {
+    pub fn progress_of(&self, session: SessionId) -> Vec<RunProgress> {
+        let records = self.runs.values().flat_map(|record| record.owners.iter().map(move |owner| (owner, record)));
+        let owned = records.filter(|(owner, _)| owner.session == Some(session));
+        let progress = owned.filter_map(|(owner, record)| match record.state {
             RunState::Running { percent, listed_at } => {
                 let elapsed = Millis::from_duration(listed_at.since(record.started_at));
-                Some(RunProgress { run: *run, order: record.order, percent, elapsed })
+                Some(RunProgress { run: owner.run, order: owner.order, percent, elapsed })
             }
             RunState::Queued | RunState::Starting { .. } | RunState::Stopping { .. } => None,
         });
@@ -220,6 +238,17 @@
 }
 
 impl RunRecord {
+    /// Returns whether an entry ordered the run on this session, or has opened it since.
+    pub fn is_owned_by(&self, session: SessionId) -> bool {
+        self.owners.iter().any(|owner| owner.session == Some(session))
+    }
+
+    /// Returns the addresses of the entries that ordered the run, for the log.
+    pub fn entries(&self) -> String {
+        let entries: Vec<&str> = self.owners.iter().map(|owner| owner.entry.as_str()).collect();
+        entries.join(",")
+    }
+
     /// Marks the run to be stopped. Returns true and changes nothing if the run is queued: it was never sent to the worker
     /// and can be removed at once.
     pub fn request_stop(&mut self, now: MonoTime, cause: StopCause) -> bool {
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -227,7 +227,7 @@
     /// Returns a dump of the agent's state for operators.
     pub fn dump(&self) -> Value {
         let runs = self.runs.iter().map(|(run, record)| {
-            json!({ "run": run.to_string(), "entry": record.entry, "state": format!("{:?}", record.state), "ordered": record.ordered_at.to_string() })
+            json!({ "run": run.to_string(), "entry": record.entries(), "state": format!("{:?}", record.state), "ordered": record.ordered_at.to_string() })
         });
         json!({
             "agent": self.options.agent,
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -12,7 +12,7 @@
 use super::lease_polls::LOSSY_INTERVAL;
 use super::{RunnerAction, RunnerControl};
 use crate::agent::calls::{StartRejection, StartReply, StopReply, WorkerCall};
-use crate::agent::run_table::{RunRecord, RunState, StopCause};
+use crate::agent::run_table::{RunOwner, RunRecord, RunState, StopCause};
 use crate::agent::worker_incarnation::WorkerIncarnation;
 
 /// Time without an answer after which a start counts as overdue. A worker on the same host usually answers in about a
@@ -61,23 +61,22 @@
             let payload = payloads.get(usize::from(start.payload)).cloned().unwrap_or_default();
             self.handle_start(session, start, payload, MonoTime::from_millis(leased_from.0));
         }
-        // An order that has ended can't be stopped any more, even if its run was ordered again.
-        for OrderedRun { run, order } in stops {
-            if self.runs.get(&run).is_some_and(|record| record.order == order) {
-                self.stop_run(&run, StopCause::Ordered);
-            }
-        }
+        stops.iter().for_each(|stop| self.withdraw_order(stop));
     }
 
     fn handle_start(&mut self, session: SessionId, start: RunStart, payload: smol_str::SmolStr, leased_from: MonoTime) {
         let Some(lease) = self.sessions.get(&session) else {
             return;
         };
-        let may_start = lease.is_valid(self.now) && !lease.is_retiring && self.accepts_starts();
+        let is_leased = lease.is_valid(self.now);
+        let may_start = is_leased && !lease.is_retiring && self.accepts_starts();
+        let RunStart { run, order, .. } = start;
+        let owner = RunOwner { run, order, session: Some(session), entry: lease.address.clone(), has_withdrawn: false };
+        if let Some(earlier) = self.runs.run_of(&run.task) {
+            return self.join_run(&earlier, owner, is_leased);
+        }
         let record = RunRecord {
-            order: start.order,
-            owner: Some(session),
-            entry: lease.address.clone(),
+            owners: vec![owner],
             demand: start.demand,
             payload,
             state: RunState::Queued,
@@ -95,6 +94,38 @@
         }
     }
 
+    /// Adds an order to the run of the same task that the agent already has. The order is answered when that run ends: its entry
+    /// would place the task elsewhere at once. Without a lease of that entry the run has to end as well, because the entry counts
+    /// the loss of the agent from the order.
+    fn join_run(&mut self, run: &RunId, owner: RunOwner, is_leased: bool) {
+        let Some(record) = self.runs.get_mut(run) else {
+            return;
+        };
+        let (entry, ordered) = (owner.entry.clone(), owner.run);
+        let owners = record.entries();
+        record.owners.push(owner);
+        self.log(format!("event=order_joined run={ordered} entry={entry} joined={run} owners={owners} leased={is_leased}"));
+        if !is_leased {
+            self.stop_run(run, StopCause::LeaseLapsed);
+        }
+    }
+
+    /// Records that an entry has stopped its order. The run is stopped once all its owners have, and each is told when it has ended.
+    /// An order that has ended can't be stopped any more, even if its run was ordered again.
+    fn withdraw_order(&mut self, stop: &OrderedRun) {
+        let Some(run) = self.runs.run_of(&stop.run.task) else {
+            return;
+        };
+        let Some(record) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let withdrawn = record.owners.iter_mut().filter(|owner| owner.order == stop.order);
+        withdrawn.for_each(|owner| owner.has_withdrawn = true);
+        if record.owners.iter().all(|owner| owner.has_withdrawn) {
+            self.stop_run(&run, StopCause::Ordered);
+        }
+    }
+
     /// Returns whether runs may start at the worker now.
     pub(super) fn accepts_starts(&self) -> bool {
         let can_start = |incarnation: &WorkerIncarnation| incarnation.is_settled && incarnation.notice.is_ready && !incarnation.is_leaving;
@@ -160,12 +191,13 @@
             return;
         };
         let calls = if let RunState::Starting { tries, .. } = record.state { tries } else { 0 };
-        let session_left = record.owner.and_then(|owner| self.sessions.get(&owner)).map_or(Duration::ZERO, |lease| lease.time_left(now));
+        let leases = record.owners.iter().filter_map(|owner| self.sessions.get(&owner.session?));
+        let session_left = leases.map(|lease| lease.time_left(now)).min().unwrap_or_default();
         let clock_age = self.incarnation.as_ref().and_then(|incarnation| incarnation.clock.reading_age(now));
         let line = format!(
             "event={event} run={run} entry={} calls={calls} order_age_ms={} queued_ms={} session_left_ms={} lease_end={lease_end} \
              clock_age_ms={}",
-            record.entry,
+            record.entries(),
             now.since(record.leased_from).as_millis(),
             now.since(record.ordered_at).as_millis(),
             session_left.as_millis(),
@@ -297,17 +329,18 @@
         }
     }
 
-    /// Removes a run that has ended, and queues its end for the next report to its entry.
+    /// Removes a run that has ended, and queues its end for the next reports to the entries that ordered it.
     pub(super) fn finish_run(&mut self, run: &RunId, outcome: RunOutcome, sign: EndSign) {
         let Some(record) = self.runs.remove(self.now, run) else {
             return;
         };
         let ran = Millis::from_duration(record.elapsed_since_start(self.now));
         let evidence = self.evidence(if record.state == RunState::Queued { EndSign::NeverSent } else { sign });
-        self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran} {evidence}", record.entry));
-        let lease = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
-        if let Some(lease) = lease {
-            lease.ends.push(RunEnd { run: *run, order: record.order, outcome, ran, evidence });
+        self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran} {evidence}", record.entries()));
+        for owner in record.owners {
+            if let Some(lease) = owner.session.and_then(|session| self.sessions.get_mut(&session)) {
+                lease.ends.push(RunEnd { run: owner.run, order: owner.order, outcome, ran, evidence });
+            }
         }
     }
 }
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -36,9 +36,10 @@
             return self.actions.push(RunnerAction::Close(session));
         }
         let mut unsettled = Vec::new();
-        for (run, record) in self.runs.iter_mut().filter(|(_, record)| record.entry == address && record.owner.is_none()) {
-            record.owner = Some(session);
-            unsettled.push(OrderedRun { run: *run, order: record.order });
+        let owners = self.runs.iter_mut().flat_map(|(_, record)| &mut record.owners);
+        for owner in owners.filter(|owner| owner.entry == address && owner.session.is_none()) {
+            owner.session = Some(session);
+            unsettled.push(OrderedRun { run: owner.run, order: owner.order });
         }
         self.log(format!("event=entry_found entry={address} unsettled={}", unsettled.len()));
         self.sessions.insert(session, SessionLease::new(self.now, address));
@@ -71,12 +72,13 @@
     }
 
     /// Removes a session and stops its runs, because their entry may be lost and the caller may resubmit the job to
-    /// another entry.
+    /// another entry. A run that another entry ordered as well is stopped too: the lost one places its task again once the lease
+    /// has ended.
     fn remove_session(&mut self, session: SessionId, cause: &str) {
         let Some(lease) = self.sessions.remove(&session) else {
             return;
         };
-        let runs = self.runs.select(|record| record.owner == Some(session));
+        let runs = self.runs.select(|record| record.is_owned_by(session));
         self.log(format!(
             "event=entry_lost entry={} cause={cause} runs={} session_left_ms={} received_age_ms={}",
             lease.address,
@@ -86,7 +88,8 @@
         ));
         for run in runs {
             if let Some(record) = self.runs.get_mut(&run) {
-                record.owner = None;
+                let owners = record.owners.iter_mut().filter(|owner| owner.session == Some(session));
+                owners.for_each(|owner| owner.session = None);
             }
             self.stop_run(&run, StopCause::EntryLost);
         }
@@ -106,7 +109,7 @@
         let lapsed: Vec<SessionId> =
             self.sessions.iter_mut().filter_map(|(session, lease)| lease.detect_lapse(now).then_some(*session)).collect();
         for session in lapsed {
-            let runs = self.runs.select(|record| record.owner == Some(session));
+            let runs = self.runs.select(|record| record.is_owned_by(session));
             // The lease of an entry without runs is not renewed.
             if let Some(lease) = self.sessions.get(&session).filter(|_| !runs.is_empty()) {
                 self.log(format!(
@@ -194,7 +197,7 @@
             lease.is_retiring = !self.selection.dialer.is_known(&lease.address);
             // An entry that is selected again while its session is still open must not be dialed.
             self.selection.dialer.record_connected(&lease.address);
-            let is_idle = lease.ends.is_empty() && !self.runs.iter().any(|(_, record)| record.owner == Some(*session));
+            let is_idle = lease.ends.is_empty() && !self.runs.iter().any(|(_, record)| record.is_owned_by(*session));
             // The entry has answered the report that the agent is closed. A start that it sent before is usually here by now;
             // the run of one that is not is placed again once the lease of the session has ended.
             if lease.is_retiring && lease.reported_closed && lease.is_answered() && is_idle {
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -22,13 +22,14 @@
 const SESSION: SessionId = SessionId(7);
 const DEMAND: ResourceAmount = ResourceAmount { millicores: 3_000, memory: Megabytes(64), accelerators: 0 };
 
-fn run(number: u32) -> RunId {
-    RunId { task: TaskId { job: CallerJobId(0xabc), step: 0, index: 1 }, run: number }
+/// Returns the first run of the task of this index.
+fn run(index: u16) -> RunId {
+    RunId { task: TaskId { job: CallerJobId(0xabc), step: 0, index }, run: 1 }
 }
 
 /// Returns the order that starts a run.
 fn order(run: &RunId) -> OrderId {
-    OrderId { entry: Incarnation(1), number: u64::from(run.run) }
+    OrderId { entry: Incarnation(1), number: u64::from(run.task.index) }
 }
 
 /// An agent with a settled worker and one session. Records what the agent does.
--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::ids::{Incarnation, ProcessStart};
 use vanillacleat_core::run_frames::{
     EntryRecord, OrderFrame, OrderId, OrderedRun, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder,
@@ -252,3 +253,63 @@
     assert!(bench.is_running(run(0, 1)), "{:?}", bench.outcomes(run(0, 1)));
     assert!(!bench.outcomes(run(0, 1)).contains(&RunOutcome::Stopped));
 }
+
+/// Returns an agent that runs run 1 of a task for entry 1, for which entry 2 has ordered run 2 of the same task.
+fn bench_with_a_shared_run() -> AgentBench {
+    let mut bench = AgentBench::new();
+    bench.run_time = Duration::from_millis(300);
+    bench.order_start(1, run(0, 1));
+    bench.advance(30);
+    bench.order_start(2, run(0, 2));
+    bench.advance(100);
+    assert!(bench.is_running(run(0, 1)) && !bench.is_running(run(0, 2)), "the worker must not run the task twice");
+    assert_eq!(bench.ends, vec![], "entry 2 would place its task elsewhere");
+    bench
+}
+
+/// Returns the ends that were reported on a session, with their runs.
+fn ends_on(bench: &AgentBench, session: u64) -> Vec<(RunId, RunOutcome)> {
+    let ends = bench.ends.iter().filter(|(reported_on, _, _)| *reported_on == SessionId(session));
+    ends.map(|(_, _, end)| (end.run, end.outcome)).collect()
+}
+
+// Guards against two runs of a task at one worker for two entries, and against an entry that is not told of the end.
+#[test]
+fn run_that_two_entries_ordered_ends_for_both_when_it_ends() {
+    let mut bench = bench_with_a_shared_run();
+    bench.advance(1_000);
+    assert_eq!(ends_on(&bench, 1), vec![(run(0, 1), RunOutcome::Done)]);
+    assert_eq!(ends_on(&bench, 2), vec![(run(0, 2), RunOutcome::Done)]);
+}
+
+// Guards against the stop of one of two entries: it stops nothing while the other one has not stopped its order, and tells it of no
+// end while the run goes on.
+#[rstest]
+#[case::first_entry_stops(1)]
+#[case::second_entry_stops(2)]
+fn run_that_two_entries_ordered_stops_once_both_have_stopped_it(#[case] first: u64) {
+    let mut bench = bench_with_a_shared_run();
+    bench.order_stop(first, run(0, first as u32));
+    bench.advance(200);
+    assert!(bench.is_running(run(0, 1)));
+    assert_eq!(bench.ends, vec![]);
+    bench.order_stop(3 - first, run(0, 3 - first as u32));
+    bench.advance(300);
+    assert_eq!(ends_on(&bench, 1), vec![(run(0, 1), RunOutcome::Stopped)]);
+    assert_eq!(ends_on(&bench, 2), vec![(run(0, 2), RunOutcome::Stopped)]);
+    assert_eq!(bench.outlived(), vec![]);
+}
+
+// Guards against a run that goes on for one entry after the other one has lost the agent and placed the task again.
+#[rstest]
+#[case::first_entry_lost(1)]
+#[case::second_entry_lost(2)]
+fn run_that_two_entries_ordered_stops_if_one_is_lost(#[case] lost: u64) {
+    let mut bench = bench_with_a_shared_run();
+    let address = SmolStr::new(format!("entry-{lost}"));
+    bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(lost)), address });
+    bench.advance(200);
+    assert!(!bench.is_running(run(0, 1)));
+    assert_eq!(ends_on(&bench, 3 - lost), vec![(run(0, 3 - lost as u32), RunOutcome::Stopped)]);
+    assert_eq!(bench.outlived(), vec![]);
+}
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -8,7 +8,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, OrderId, RunEnd, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{OrderFrame, OrderId, OrderedRun, RunEnd, RunFrame, RunHello, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     LeasePollReply, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, StartReply, StopReply, WorkerCall, WorkerNotice, WorkerReply,
@@ -187,6 +187,13 @@
         self.deliver(RunnerEvent::Frame { session: SessionId(session), frame: OrderFrame::Orders(orders) });
     }
 
+    /// Delivers the stop of the entry's last order for a run.
+    pub fn order_stop(&mut self, session: u64, run: RunId) {
+        let stops = vec![OrderedRun { run, order: self.orders[&run] }];
+        let orders = RunOrders { leased_from: Millis(self.now), stops, ..RunOrders::default() };
+        self.deliver(RunnerEvent::Frame { session: SessionId(session), frame: OrderFrame::Orders(orders) });
+    }
+
     /// Delivers an event that the agent handles at once.
     pub fn deliver(&mut self, event: RunnerEvent) {
         self.deliver_dated(self.now, event);
