--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -35,16 +35,21 @@
     site
 }
 
-/// Delivers a hello without unsettled runs on a new session of agent 0, whose process has the incarnation 1 and started at 100.
-fn deliver_hello(site: &mut SiteBench, session: SessionId, incarnation: u64, process_start: u64, number: u64) {
-    let hello = RunHello {
+/// Returns a hello of agent 0 without unsettled runs. The agent's process has the incarnation 1 and started at 100.
+fn make_hello(incarnation: u64, process_start: u64, number: u64) -> RunHello {
+    RunHello {
         agent: "agent-1".parse().expect("a valid name"),
         incarnation: Incarnation(incarnation),
         order: SessionOrder { process_start: ProcessStart(process_start), number },
         zone: "zone-0".parse().expect("a valid name"),
         plan_version: 1,
         unsettled: Vec::new(),
-    };
+    }
+}
+
+/// Delivers a hello of agent 0 on a new session.
+fn deliver_hello(site: &mut SiteBench, session: SessionId, incarnation: u64, process_start: u64, number: u64) {
+    let hello = make_hello(incarnation, process_start, number);
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) }]);
 }
 
@@ -218,6 +223,21 @@
     assert_eq!(site.double_runs(), vec![]);
 }
 
+// Guards against a hello that lists a former order of a run, which is taken for the later order of the same number: the later one was
+// lost with its session, and its entry would wait for its end for ever.
+#[rstest]
+#[case::later_order_is_listed(0, 1)]
+#[case::former_order_is_listed(1, 0)]
+fn unsettled_run_of_a_former_order_is_not_that_of_a_later_one(#[case] orders_before: u64, #[case] sent_after: usize) {
+    let mut site = site_with_a_run();
+    let sent_runs = |site: &SiteBench| site.entry.job_table().jobs().flat_map(|job| job.sent_runs()).collect::<Vec<_>>();
+    let (OrderedRun { run, order }, _) = sent_runs(&site)[0].clone();
+    let listed = OrderedRun { run, order: OrderId { number: order.number - orders_before, ..order } };
+    let hello = RunHello { unsettled: vec![listed], ..make_hello(1, 100, 2) };
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session: SessionId(98), frame: RunFrame::Hello(hello) }]);
+    assert_eq!(sent_runs(&site).iter().filter(|(sent, _)| sent.order == order).count(), sent_after);
+}
+
 // Guards against an order that is ignored because the agent still has a run of the same number for another entry: the entry that
 // sent it would wait for its end for ever.
 #[test]
