--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -156,8 +156,9 @@
     rng: ChaCha8Rng,
     plan: SitePlan,
     polls: lease_polls::PollState,
-    /// When the last call was sent that extends the lease of a worker that receives it.
-    lease_extended_at: Option<MonoTime>,
+    /// When all runs at the worker have ended unless a further call extends its lease, whichever incarnation received the calls so far.
+    /// Zero before the first one.
+    lease_bound: MonoTime,
     /// When the worker last answered a call.
     worker_answered_at: MonoTime,
     drain_started_at: Option<MonoTime>,
@@ -183,7 +184,7 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             plan: SitePlan::default(),
             polls: lease_polls::PollState::default(),
-            lease_extended_at: None,
+            lease_bound: MonoTime::ZERO,
             worker_answered_at: MonoTime::ZERO,
             drain_started_at: None,
             actions: Vec::new(),
@@ -234,7 +235,7 @@
     /// Returns a dump of the agent's state for operators.
     pub fn dump(&self) -> Value {
         let runs = self.runs.iter().map(|(run, record)| {
-            json!({ "run": run.to_string(), "entry": record.entry, "state": format!("{:?}", record.state), "ordered": record.ordered_at.to_string() })
+            json!({ "run": run.to_string(), "entry": record.entries(), "state": format!("{:?}", record.state), "ordered": record.ordered_at.to_string() })
         });
         json!({
             "agent": self.options.agent,
@@ -259,7 +260,7 @@
             return;
         }
         if let WorkerReply::LeasePoll(number, reply) = &reply {
-            if self.polls.probe.is_some_and(|probe| probe.number == *number) {
+            if self.polls.probe.as_ref().is_some_and(|probe| probe.number == *number) {
                 return self.handle_probe_reply(reply);
             }
         }
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -61,41 +61,46 @@
         let (Some(successor), Some(incarnation)) = (&self.successor, &self.incarnation) else {
             return;
         };
-        if self.polls.probe.is_some_and(|probe| probe.is_pending || self.now < probe.retry_at) {
+        if self.polls.probe.as_ref().is_some_and(|probe| probe.is_pending || self.now < probe.retry_at) {
             return;
         }
         self.polls.last_number += 1;
         let number = self.polls.last_number;
         // Another incarnation of the same name may turn out to be an earlier one, whose calls must not fence those to the current one.
         let fencing_token = self.fencing_token + u64::from(successor.worker != incarnation.notice.worker);
-        self.polls.probe = Some(Probe { number, is_pending: true, retry_at: self.now + POLL_RETRY_DELAY });
+        let notice = successor.clone();
+        let worker = notice.worker.clone();
+        self.polls.probe = Some(Probe { number, notice, is_pending: true, retry_at: self.now + POLL_RETRY_DELAY });
         self.actions.push(RunnerAction::Call {
             incarnation_number: self.incarnation_number,
-            worker: successor.worker.clone(),
+            worker,
             fencing_token,
             call: WorkerCall::LeasePoll { number, lease_end: None, observed: 0, wait: Duration::ZERO },
         });
     }
 
     pub(super) fn handle_probe_reply(&mut self, reply: &LeasePollReply) {
-        if let Some(probe) = &mut self.polls.probe {
-            probe.is_pending = false;
-        }
-        let (Some(successor), Some(incarnation)) = (self.successor.take(), &self.incarnation) else {
+        let (Some(probe), Some(incarnation)) = (&mut self.polls.probe, &self.incarnation) else {
             return;
         };
+        probe.is_pending = false;
+        let notice = probe.notice.clone();
         match reply {
-            LeasePollReply::Runs(list) if successor.worker != incarnation.notice.worker || list.born != incarnation.notice.born => {
-                self.replace_incarnation(successor, IncarnationEnd::HEARTBEAT);
+            LeasePollReply::Runs(list) if notice.worker != incarnation.notice.worker || list.born != incarnation.notice.born => {
+                self.replace_incarnation(notice, IncarnationEnd::HEARTBEAT);
             }
             LeasePollReply::Runs(_) | LeasePollReply::OtherIncarnation => {
                 let WorkerNotice { worker, born, .. } = &incarnation.notice;
-                let (other, other_born) = (&successor.worker, successor.born);
+                let (other, other_born) = (&notice.worker, notice.born);
                 let line = format!("event=heartbeat_refuted worker={other} born={other_born} known={worker} known_born={born}");
                 self.log(line);
+                // A later heartbeat is probed in turn.
+                if self.successor.as_ref() == Some(&notice) {
+                    self.successor = None;
+                }
             }
             LeasePollReply::Fenced => self.raise_fencing_token(),
-            LeasePollReply::Unanswered => self.successor = Some(successor),
+            LeasePollReply::Unanswered => {}
         }
     }
 
@@ -130,6 +135,12 @@
         if self.former.as_ref().is_some_and(|(worker, born)| *worker == notice.worker && *born == notice.born) {
             self.former = None;
         }
+        // A call that was meant for the former incarnation of the same name carries a lease end on that one's clock, for which the
+        // worker may grant its longest lease.
+        let is_reborn = |lost: &LostIncarnation| lost.worker == notice.worker && lost.born != notice.born;
+        if self.lost_incarnation.as_ref().is_some_and(is_reborn) && self.lease_bound > MonoTime::ZERO {
+            self.extend_lease_bound(self.options.lease_terms.worker_lease_max);
+        }
         self.incarnation = Some(WorkerIncarnation::new(notice));
         self.successor = None;
         self.polls = PollState::default();
@@ -198,9 +209,13 @@
         self.log(format!("event=worker_leaving worker={worker} runs={runs}"));
     }
 
-    /// Stops calling a worker that has deregistered once it runs nothing.
+    /// Stops calling a worker that has deregistered once it runs nothing and its ends are acknowledged, or it answers no more.
     pub(super) fn finish_leaving(&mut self) {
-        if self.incarnation.as_ref().is_some_and(|incarnation| incarnation.is_leaving) && !self.runs.has_runs_at_worker() {
+        let Some(incarnation) = self.incarnation.as_ref().filter(|incarnation| incarnation.is_leaving) else {
+            return;
+        };
+        let is_acknowledged = incarnation.observed <= incarnation.acknowledged || self.polls.failures > 0;
+        if is_acknowledged && !self.runs.has_runs_at_worker() {
             self.lose_incarnation(IncarnationEnd::DEREGISTRATION);
         }
     }
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -10,7 +10,9 @@
 use super::incarnations::IncarnationEnd;
 use super::RunnerControl;
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
-use crate::agent::run_table::{RunRecord, RunState, StopCause};
+use crate::agent::run_table::{RunOwner, RunState, StopCause};
+use crate::agent::session_lease::SessionLease;
+use crate::agent::worker_incarnation::WorkerNotice;
 use crate::log_fields::format_list;
 
 /// Maximum time that the worker delays its reply to a poll until a run ends. A quarter of the maximum worker lease, so
@@ -51,10 +53,12 @@
 }
 
 /// A lease poll that asks whether another incarnation is at the worker's address. It renews no lease.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Probe {
     /// Number of the poll.
     pub number: u64,
+    /// The heartbeat that the poll is to confirm.
+    pub notice: WorkerNotice,
     /// Whether its reply has not been received.
     pub is_pending: bool,
     /// The earliest time of the next one.
@@ -110,10 +114,8 @@
     /// Ends all runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended. A
     /// worker stops all runs by itself when its lease ends.
     fn end_lapsed_runs(&mut self) {
-        let lapse_timeout = self.lapse_timeout();
         let is_answering = self.incarnation.is_some() && self.polls.failures == 0;
-        let is_leased = self.lease_extended_at.is_some_and(|at| self.now.since(at) < lapse_timeout);
-        if is_answering || is_leased || !self.runs.has_runs_at_worker() {
+        if is_answering || self.now < self.lease_bound || !self.runs.has_runs_at_worker() {
             return;
         }
         let evidence = self.evidence(EndSign::WorkerSilent);
@@ -238,12 +240,12 @@
     /// Returns the duration of a worker's lease that is granted now. The lease covers all runs at the worker, so it ends no later after
     /// the end of the session's lease of any of them than it would if the worker's last renewal had come just before.
     pub(super) fn next_worker_lease(&self) -> Duration {
-        let session_end = |record: &RunRecord| {
-            let lease = record.owner.and_then(|owner| self.sessions.get(&owner));
-            lease.map_or(record.leased_until, |lease| lease.leased_until().max(record.leased_until))
+        let session_end = |owner: &RunOwner| {
+            let lease = owner.session.and_then(|session| self.sessions.get(&session));
+            owner.lost_lease_end.or(lease.map(SessionLease::leased_until)).unwrap_or(self.now)
         };
         let at_worker = self.runs.iter().filter(|(_, record)| record.state != RunState::Queued);
-        let first_end = at_worker.map(|(_, record)| session_end(record)).min();
+        let first_end = at_worker.flat_map(|(_, record)| &record.owners).map(session_end).min();
         let overdue = first_end.map_or(Duration::ZERO, |end| self.now.since(end));
         self.options.lease_terms.worker_lease.saturating_sub(overdue)
     }
@@ -254,21 +256,28 @@
         self.incarnation.as_ref().map_or(0, |incarnation| incarnation.clock.lease_end(self.now, duration))
     }
 
-    /// Returns the time after the last call that extends the worker's lease within which all runs there end.
+    /// Returns the time within which all runs end that a lease of the usual length covers.
     pub(super) fn lapse_timeout(&self) -> Duration {
-        let terms = &self.options.lease_terms;
-        terms.worker_lease + terms.worker_lease / 20 + terms.stop_timeout * 2
+        self.lapse_time(self.options.lease_terms.worker_lease)
+    }
+
+    fn lapse_time(&self, lease: Duration) -> Duration {
+        lease + lease / 20 + self.options.lease_terms.stop_timeout * 2
     }
 
     /// Records that a call is sent which extends the worker's lease if the worker receives it.
     pub(super) fn record_lease_extension(&mut self) {
-        self.lease_extended_at = Some(self.now);
+        self.extend_lease_bound(self.options.lease_terms.worker_lease);
+    }
+
+    /// Records that the worker may have been granted a lease of this duration by now.
+    pub(super) fn extend_lease_bound(&mut self, lease: Duration) {
+        self.lease_bound = self.lease_bound.max(self.now + self.lapse_time(lease));
     }
 
     /// Returns the maximum time until the worker's lease ends, whichever incarnation received the last call that extends it.
     /// Zero before the first such call.
     pub(super) fn worker_lease_left(&self) -> Duration {
-        let lease = self.options.lease_terms.worker_lease;
-        self.lease_extended_at.map_or(Duration::ZERO, |at| (lease + lease / 20).saturating_sub(self.now.since(at)))
+        self.lease_bound.since(self.now).saturating_sub(self.options.lease_terms.stop_timeout * 2)
     }
 }
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -111,8 +111,8 @@
         let (reachable, unreachable): (Vec<_>, Vec<_>) = stops.partition(|(agent, _)| is_reachable(agent));
         self.log(format!(
             "event=caller_disconnected job={id} waiters={waiters} stopped={} unreachable={}",
-            format_list(reachable.into_iter().map(|(_, run)| run)),
-            format_list(unreachable.into_iter().map(|(_, run)| run))
+            format_list(reachable.into_iter().map(|(_, ordered)| ordered.run)),
+            format_list(unreachable.into_iter().map(|(_, ordered)| ordered.run))
         ));
         self.apply_effects(effects);
     }
--- a/crates/runs/src/lease_terms.rs
+++ b/crates/runs/src/lease_terms.rs
@@ -26,6 +26,8 @@
     pub session_lease: Duration,
     /// Maximum time that a worker takes to stop a run.
     pub stop_timeout: Duration,
+    /// Maximum lease that a worker grants, whatever is asked for.
+    pub worker_lease_max: Duration,
 }
 
 impl LeaseTerms {
@@ -38,7 +40,7 @@
         let budget = resubmit_after.saturating_sub(stop_timeout + TIMER_SLACK);
         let worker_lease = WORKER_LEASE_MAX.min(worker_lease_max * 4 / 5).min(budget / 2 * CLOCK_RATE_PERCENT_MIN / 100);
         let session_lease = SESSION_LEASE_MAX.min(budget.saturating_sub(max_elapsed(worker_lease)));
-        Self { worker_lease, session_lease, stop_timeout }
+        Self { worker_lease, session_lease, stop_timeout, worker_lease_max }
     }
 
     /// Returns whether both leases are long enough to be renewed in time.
--- a/crates/runs/tests/log_lines.rs
+++ b/crates/runs/tests/log_lines.rs
@@ -8,9 +8,10 @@
 use support::plans::{make_options, make_plan};
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
-use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::ids::{Incarnation, ProcessStart};
 use vanillacleat_core::run_frames::{
-    EndEvidence, EndSign, OrderFrame, RunEnd, RunFrame, RunHello, RunOrders, RunOutcome, RunReport, RunStart, WorkerInfo,
+    EndEvidence, EndSign, OrderFrame, OrderId, RunEnd, RunFrame, RunHello, RunOrders, RunOutcome, RunReport, RunStart, SessionOrder,
+    WorkerInfo,
 };
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
@@ -22,6 +23,8 @@
 
 const SESSION: SessionId = SessionId(7);
 const RUN: RunId = run(1);
+/// The incarnation of the entry in zone 0.
+const ENTRY: Incarnation = Incarnation(0);
 const DEMAND: ResourceAmount = ResourceAmount { millicores: 3_000, memory: Megabytes(64), accelerators: 0 };
 
 const fn run(number: u32) -> RunId {
@@ -80,7 +83,7 @@
 
     /// Delivers an order that leases the session from 4 ms.
     fn order_start(&mut self, at: u64) {
-        let starts = vec![RunStart { run: RUN, demand: DEMAND, payload: 0 }];
+        let starts = vec![RunStart { run: RUN, order: order(1), demand: DEMAND, payload: 0 }];
         let orders = RunOrders { leased_from: Millis(4), payloads: vec![SmolStr::new_static("text")], starts, stops: Vec::new() };
         self.deliver(at, RunnerEvent::Frame { session: SESSION, frame: OrderFrame::Orders(orders) });
     }
@@ -98,6 +101,11 @@
     }
 }
 
+/// Returns the order of this number of an entry.
+fn order(number: u64) -> OrderId {
+    OrderId { entry: ENTRY, number }
+}
+
 fn notice(sequence: u64) -> WorkerNotice {
     WorkerNotice {
         worker: SmolStr::new_static("i-1"),
@@ -130,7 +138,7 @@
         )]
     );
     let evidence = EndEvidence { sign: EndSign::Listed, age: Some(Millis(25)), lease_left: Millis(395) };
-    assert_eq!(harness.ends, [RunEnd { run: RUN, outcome: RunOutcome::Done, ran: Millis(20), evidence }]);
+    assert_eq!(harness.ends, [RunEnd { run: RUN, order: order(1), outcome: RunOutcome::Done, ran: Millis(20), evidence }]);
     assert_eq!(lines_of(&harness.lines, "run_ended"), [format!("event=run_ended {started} outcome=Done ran_ms=20 {evidence}")]);
 }
 
@@ -224,6 +232,7 @@
             incarnation: Incarnation(incarnation),
             zone: "zone-0".parse().expect("a valid name"),
             plan_version: 0,
+            order: SessionOrder { process_start: ProcessStart(incarnation), number: session },
             unsettled: Vec::new(),
         };
         let worker = WorkerInfo {
@@ -258,7 +267,7 @@
 
 fn lost(number: u32) -> RunEnd {
     let evidence = EndEvidence { sign: EndSign::WorkerSilent, age: Some(Millis(530)), lease_left: Millis(0) };
-    RunEnd { run: run(number), outcome: RunOutcome::Lost, ran: Millis(500), evidence }
+    RunEnd { run: run(number), order: order(number.into()), outcome: RunOutcome::Lost, ran: Millis(500), evidence }
 }
 
 #[test]
@@ -297,7 +306,7 @@
     assert_eq!(
         stale,
         ["event=run_back run=00000000000000ab.0.0.0#1 agent=agent-1 outcome=Lost ran_ms=500 evidence=worker_silent evidence_age_ms=530 \
-          lease_left_ms=0 stale=true expected=2@agent-1"]
+          lease_left_ms=0 stale=true order=0000000000000000.1 expected=2@agent-1"]
     );
     assert_eq!(lines_of(&harness.lines, "report_ignored"), ["event=report_ignored session=11 ends=1 runs=00000000000000ab.0.0.0#2"]);
 }
--- a/crates/runs/tests/session_order.rs
+++ b/crates/runs/tests/session_order.rs
@@ -5,8 +5,11 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::ids::{Incarnation, ProcessStart};
-use vanillacleat_core::run_frames::{EntryRecord, OrderFrame, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder};
+use vanillacleat_core::run_frames::{
+    EntryRecord, OrderFrame, OrderId, OrderedRun, RunFrame, RunHello, RunOrders, RunOutcome, RunStart, SessionOrder,
+};
 use vanillacleat_core::units::Millis;
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
 use vanillacleat_runs::entry::DispatchEvent;
@@ -32,16 +35,21 @@
     site
 }
 
-/// Delivers a hello without unsettled runs on a new session of agent 0, whose process has the incarnation 1 and started at 100.
-fn deliver_hello(site: &mut SiteBench, session: SessionId, incarnation: u64, process_start: u64, number: u64) {
-    let hello = RunHello {
+/// Returns a hello of agent 0 without unsettled runs. The agent's process has the incarnation 1 and started at 100.
+fn make_hello(incarnation: u64, process_start: u64, number: u64) -> RunHello {
+    RunHello {
         agent: "agent-1".parse().expect("a valid name"),
         incarnation: Incarnation(incarnation),
         order: SessionOrder { process_start: ProcessStart(process_start), number },
         zone: "zone-0".parse().expect("a valid name"),
         plan_version: 1,
         unsettled: Vec::new(),
-    };
+    }
+}
+
+/// Delivers a hello of agent 0 on a new session.
+fn deliver_hello(site: &mut SiteBench, session: SessionId, incarnation: u64, process_start: u64, number: u64) {
+    let hello = make_hello(incarnation, process_start, number);
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) }]);
 }
 
@@ -186,7 +194,7 @@
     bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(1)), address: SmolStr::new_static("entry-1") });
     bench.deliver(RunnerEvent::SessionOpened { session: SessionId(3), address: SmolStr::new_static("entry-1") });
     let (_, hello) = bench.hellos.last().expect("a hello was sent");
-    assert_eq!(hello.unsettled, vec![run(0, 1)]);
+    assert_eq!(hello.unsettled, vec![OrderedRun { run: run(0, 1), order: bench.orders[&run(0, 1)] }]);
 }
 
 // Guards against the end of an order that the entry had given up, which is taken for the end of a later order of the same number:
@@ -215,6 +223,21 @@
     assert_eq!(site.double_runs(), vec![]);
 }
 
+// Guards against a hello that lists a former order of a run, which is taken for the later order of the same number: the later one was
+// lost with its session, and its entry would wait for its end for ever.
+#[rstest]
+#[case::later_order_is_listed(0, 1)]
+#[case::former_order_is_listed(1, 0)]
+fn unsettled_run_of_a_former_order_is_not_that_of_a_later_one(#[case] orders_before: u64, #[case] sent_after: usize) {
+    let mut site = site_with_a_run();
+    let sent_runs = |site: &SiteBench| site.entry.job_table().jobs().flat_map(|job| job.sent_runs()).collect::<Vec<_>>();
+    let (OrderedRun { run, order }, _) = sent_runs(&site)[0].clone();
+    let listed = OrderedRun { run, order: OrderId { number: order.number - orders_before, ..order } };
+    let hello = RunHello { unsettled: vec![listed], ..make_hello(1, 100, 2) };
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Frame { session: SessionId(98), frame: RunFrame::Hello(hello) }]);
+    assert_eq!(sent_runs(&site).iter().filter(|(sent, _)| sent.order == order).count(), sent_after);
+}
+
 // Guards against an order that is ignored because the agent still has a run of the same number for another entry: the entry that
 // sent it would wait for its end for ever.
 #[test]
@@ -238,14 +261,75 @@
     let mut bench = AgentBench::new();
     bench.order_start(1, run(0, 1));
     bench.advance(30);
+    let order = OrderId { entry: Incarnation(2), number: 1 };
     let orders = RunOrders {
         leased_from: Millis(bench.now()),
         payloads: vec![SmolStr::new_static("text")],
-        starts: vec![RunStart { run: run(0, 1), demand: DEMAND, payload: 0 }],
-        stops: vec![run(0, 1)],
+        starts: vec![RunStart { run: run(0, 1), order, demand: DEMAND, payload: 0 }],
+        stops: vec![OrderedRun { run: run(0, 1), order }],
     };
     bench.deliver(RunnerEvent::Frame { session: SessionId(2), frame: OrderFrame::Orders(orders) });
     bench.advance(500);
     assert!(bench.is_running(run(0, 1)), "{:?}", bench.outcomes(run(0, 1)));
     assert!(!bench.outcomes(run(0, 1)).contains(&RunOutcome::Stopped));
 }
+
+/// Returns an agent that runs run 1 of a task for entry 1, for which entry 2 has ordered run 2 of the same task.
+fn bench_with_a_shared_run() -> AgentBench {
+    let mut bench = AgentBench::new();
+    bench.run_time = Duration::from_millis(300);
+    bench.order_start(1, run(0, 1));
+    bench.advance(30);
+    bench.order_start(2, run(0, 2));
+    bench.advance(100);
+    assert!(bench.is_running(run(0, 1)) && !bench.is_running(run(0, 2)), "the worker must not run the task twice");
+    assert_eq!(bench.ends, vec![], "entry 2 would place its task elsewhere");
+    bench
+}
+
+/// Returns the ends that were reported on a session, with their runs.
+fn ends_on(bench: &AgentBench, session: u64) -> Vec<(RunId, RunOutcome)> {
+    let ends = bench.ends.iter().filter(|(reported_on, _, _)| *reported_on == SessionId(session));
+    ends.map(|(_, _, end)| (end.run, end.outcome)).collect()
+}
+
+// Guards against two runs of a task at one worker for two entries, and against an entry that is not told of the end.
+#[test]
+fn run_that_two_entries_ordered_ends_for_both_when_it_ends() {
+    let mut bench = bench_with_a_shared_run();
+    bench.advance(1_000);
+    assert_eq!(ends_on(&bench, 1), vec![(run(0, 1), RunOutcome::Done)]);
+    assert_eq!(ends_on(&bench, 2), vec![(run(0, 2), RunOutcome::Done)]);
+}
+
+// Guards against the stop of one of two entries: it stops nothing while the other one has not stopped its order, and tells it of no
+// end while the run goes on.
+#[rstest]
+#[case::first_entry_stops(1)]
+#[case::second_entry_stops(2)]
+fn run_that_two_entries_ordered_stops_once_both_have_stopped_it(#[case] first: u64) {
+    let mut bench = bench_with_a_shared_run();
+    bench.order_stop(first, run(0, first as u32));
+    bench.advance(200);
+    assert!(bench.is_running(run(0, 1)));
+    assert_eq!(bench.ends, vec![]);
+    bench.order_stop(3 - first, run(0, 3 - first as u32));
+    bench.advance(300);
+    assert_eq!(ends_on(&bench, 1), vec![(run(0, 1), RunOutcome::Stopped)]);
+    assert_eq!(ends_on(&bench, 2), vec![(run(0, 2), RunOutcome::Stopped)]);
+    assert_eq!(bench.outlived(), vec![]);
+}
+
+// Guards against a run that goes on for one entry after the other one has lost the agent and placed the task again.
+#[rstest]
+#[case::first_entry_lost(1)]
+#[case::second_entry_lost(2)]
+fn run_that_two_entries_ordered_stops_if_one_is_lost(#[case] lost: u64) {
+    let mut bench = bench_with_a_shared_run();
+    let address = SmolStr::new(format!("entry-{lost}"));
+    bench.deliver(RunnerEvent::SessionClosed { session: Some(SessionId(lost)), address });
+    bench.advance(200);
+    assert!(!bench.is_running(run(0, 1)));
+    assert_eq!(ends_on(&bench, 3 - lost), vec![(run(0, 3 - lost as u32), RunOutcome::Stopped)]);
+    assert_eq!(bench.outlived(), vec![]);
+}
