A resumed entry starts nothing until its callers' connections were read

What callers could see: two runs of a task at once. A caller leaves during a pause of its entry and submits its job to another one.

Cause: disconnects wait in sockets, which several tasks read in any order. `handle_batch` compared requests only with disconnects of the same batch, and jobs that waited or were interrupted were placed at once.

Why it works: after a gap longer than the resubmission delay less the agents' loss timeout (1,300 - 958 ms), the control state asks for a confirmation with a number. Until it comes, requests are kept, disconnects are applied to them, and no task is placed. A shorter gap needs no wait: a run started after it ends before the callers of the gap resubmit. A newer stall makes older confirmations void. Without a confirmation, for example on a runtime that is never idle, the entry goes on after a second; then the former window is open.

Tests: the harness `site_bench` answers the confirmation once the disconnects that a test has put into the sockets are delivered, as the runtime does; `resume_entry` says so in one line. No assertion was changed. New cases: a caller that still waits is placed, a lost confirmation delays by a second, an earlier one does not count, and the threshold.

--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -105,10 +105,12 @@
         let runtime = ProcessRuntime::start("entry-traffic", RUNTIME_THREADS).change_context(DaemonError::Start)?;
         let pause = PauseSwitch::default();
         let status = Arc::new(EntryStatus::default());
-        let mut entry_loop = EntryLoop::new(DispatchControl::new(make_options(settings)), status.clone());
+        let mut entry_loop = EntryLoop::new(DispatchControl::new(make_options(settings)), status.clone(), runtime.handle());
+        let event_sink = entry_loop.event_sink();
         let step = move |now, batch| entry_loop.step(now, batch);
         let tick = || EntryInput::Event(DispatchEvent::Tick);
         let (events, thread) = spawn_batch_thread("entry-control", pause.clone(), tick, step).change_context(DaemonError::Start)?;
+        event_sink.set(events.clone());
         let listener = runtime.block_on(TcpListener::bind(settings.mesh_listen)).change_context(DaemonError::Start)?;
         let session_events = events.clone();
         runtime.handle().spawn(serve_listener(listener, move |stream| serve_stream(stream, session_events.clone())));
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -5,14 +5,17 @@
 use std::sync::Arc;
 
 use metrics::{Gauge, Histogram};
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::{ControlStep, EventBatch};
+use vanillacleat_daemon::{ControlStep, EventBatch, EventSink};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, Measurement};
 use vanillacleat_wire::SessionQueue;
 
+use crate::caller_confirmation::confirm_callers;
+
 /// Input of the control thread.
 #[derive(Debug)]
 pub(crate) enum EntryInput {
@@ -42,6 +45,8 @@
     answer_senders: HashMap<ReplyId, oneshot::Sender<CallerAnswer>>,
     session_queues: HashMap<SessionId, SessionQueue<OrderFrame>>,
     next_session: u64,
+    runtime_handle: Handle,
+    event_sink: EventSink<EntryInput>,
     /// How long the oldest input of each step has waited.
     control_lag: Histogram,
     sessions: Gauge,
@@ -49,19 +54,26 @@
 }
 
 impl EntryLoop {
-    pub(crate) fn new(control: DispatchControl, status: Arc<EntryStatus>) -> Self {
+    pub(crate) fn new(control: DispatchControl, status: Arc<EntryStatus>, runtime_handle: Handle) -> Self {
         Self {
             control,
             status,
             answer_senders: HashMap::new(),
             session_queues: HashMap::new(),
             next_session: 0,
+            runtime_handle,
+            event_sink: EventSink::default(),
             control_lag: metrics::histogram!("runs_control_lag_seconds"),
             sessions: metrics::gauge!("runs_sessions"),
             strained: metrics::gauge!("runs_entry_strained"),
         }
     }
 
+    /// Returns the sink through which the loop's own tasks send inputs. Connect it to the control thread.
+    pub(crate) fn event_sink(&self) -> EventSink<EntryInput> {
+        self.event_sink.clone()
+    }
+
     /// Handles the inputs that are waiting.
     pub(crate) fn step(&mut self, now: MonoTime, batch: EventBatch<EntryInput>) -> ControlStep {
         self.control_lag.record(batch.lag.as_secs_f64());
@@ -120,6 +132,13 @@
                 }
             }
             DispatchAction::Close(session) => drop(self.session_queues.remove(&session)),
+            DispatchAction::ConfirmCallers(number) => {
+                let event_sink = self.event_sink.clone();
+                self.runtime_handle.spawn(async move {
+                    confirm_callers().await;
+                    event_sink.send(EntryInput::Event(DispatchEvent::CallersConfirmed(number)));
+                });
+            }
             DispatchAction::Log(line) => log::info!("{line}"),
             DispatchAction::Measured(measurement) => record_measurement(measurement),
             DispatchAction::Drained => {}
--- a/crates/runs-daemon/src/lib.rs
+++ b/crates/runs-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod agent_daemon;
 mod agent_loop;
+mod caller_confirmation;
 mod entry_daemon;
 mod entry_loop;
 mod run_settings;
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -18,6 +18,7 @@
 use super::caller_api::{CallerAnswer, CallerRequest};
 use super::entry_load::EntryLoad;
 use super::job_table::JobTable;
+use super::resume_barrier::ResumeBarrier;
 use super::run_times::RouteTimes;
 use super::worker_registry::WorkerRegistry;
 use crate::LeaseTerms;
@@ -60,6 +61,8 @@
     },
     /// A caller disconnected before it was answered.
     CallerDisconnected(ReplyId),
+    /// The disconnects that had arrived when [`DispatchAction::ConfirmCallers`] with this number was executed were passed on.
+    CallersConfirmed(u64),
     /// A frame of an agent was received.
     Frame {
         /// The session.
@@ -98,6 +101,9 @@
     },
     /// Closes a session.
     Close(SessionId),
+    /// Asks for [`DispatchEvent::CallersConfirmed`] with this number, once every connection of a caller that has something to say
+    /// was read.
+    ConfirmCallers(u64),
     /// Writes a log line of key=value pairs.
     Log(String),
     /// Records a duration in a histogram.
@@ -133,6 +139,7 @@
     now: MonoTime,
     /// When the process last resumed after a stall.
     resumed_at: MonoTime,
+    resume_barrier: ResumeBarrier,
     next_maintenance_at: MonoTime,
     options: DispatchOptions,
     plan: SitePlan,
@@ -159,9 +166,11 @@
     pub fn new(options: DispatchOptions) -> Self {
         let worker_registry = WorkerRegistry::new(options.lease_terms.session_lease);
         let load = EntryLoad::new(options.lease_terms.session_lease);
+        let resume_barrier = ResumeBarrier::new(options.resubmit_after, options.lease_terms.agent_loss_timeout());
         Self {
             now: MonoTime::ZERO,
             resumed_at: MonoTime::ZERO,
+            resume_barrier,
             next_maintenance_at: MonoTime::ZERO,
             options,
             plan: SitePlan::default(),
@@ -186,15 +195,21 @@
     }
 
     /// Handles the events that have been received by `now`; the oldest of them was received `lag` earlier. Frames of agents are
-    /// handled before callers' requests: they free capacity and renew leases. Tasks are placed once, after all events.
+    /// handled before callers' requests: they free capacity and renew leases. Tasks are placed once, after all events. After a stall,
+    /// requests are kept and no task is placed until [`DispatchEvent::CallersConfirmed`].
     pub fn handle_batch(&mut self, now: MonoTime, lag: Duration, events: Vec<DispatchEvent>) -> Vec<DispatchAction> {
-        if now.since(self.now) > STALL_THRESHOLD {
+        let gap = now.since(self.now);
+        if gap > STALL_THRESHOLD {
             // This process was stalled and received nothing meanwhile. Missing reports don't mean that the agents were silent.
             // For the same reason, what has waited meanwhile doesn't show that the process has too much to do.
             self.resumed_at = now;
         } else {
             self.load.record_lag(now, lag);
         }
+        if let Some(number) = self.resume_barrier.record_gap(now, gap) {
+            self.log(format!("event=resumed gap_ms={} confirmation={number}", gap.as_millis()));
+            self.actions.push(DispatchAction::ConfirmCallers(number));
+        }
         self.now = self.now.max(now);
         let (mut requests, others): (Vec<_>, Vec<_>) =
             events.into_iter().partition(|event| matches!(event, DispatchEvent::Requested { .. }));
@@ -212,6 +227,13 @@
             self.run_maintenance();
         }
         self.update_load();
+        if self.resume_barrier.expire(self.now) {
+            self.log("event=callers_unconfirmed".to_owned());
+        }
+        if !self.resume_barrier.is_raised() {
+            let kept = self.resume_barrier.take_requests();
+            kept.into_iter().for_each(|(reply, request)| self.handle_request(reply, request));
+        }
         requests.into_iter().for_each(|event| self.handle_event(event));
         self.place_ready_tasks();
         self.flush_orders();
@@ -221,8 +243,17 @@
 
     fn handle_event(&mut self, event: DispatchEvent) {
         match event {
+            DispatchEvent::Requested { reply, request } if self.resume_barrier.is_raised() => {
+                self.resume_barrier.keep_request(reply, request);
+            }
             DispatchEvent::Requested { reply, request } => self.handle_request(reply, request),
+            DispatchEvent::CallersConfirmed(number) => {
+                if let Some(waited) = self.resume_barrier.confirm(self.now, number) {
+                    self.log(format!("event=callers_confirmed waited_ms={}", waited.as_millis()));
+                }
+            }
             DispatchEvent::CallerDisconnected(reply) => {
+                self.resume_barrier.drop_request(reply);
                 let effects = self.job_table.remove_waiter(reply);
                 self.apply_effects(effects);
             }
@@ -314,6 +345,7 @@
             "zones_out": self.plan.zones_out,
             "is_draining": self.is_draining(),
             "is_strained": self.load.is_strained(),
+            "awaits_callers": self.resume_barrier.is_raised(),
             "entries": self.entries.iter().map(|entry| &entry.address).collect::<Vec<_>>(),
             "workers": workers.collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(),
@@ -352,7 +384,7 @@
             return;
         };
         let waited = self.now.since(since);
-        let is_idle = self.refuses_new_jobs() && self.job_table.jobs().next().is_none();
+        let is_idle = self.refuses_new_jobs() && self.job_table.jobs().next().is_none() && !self.resume_barrier.has_requests();
         let idle_since = *self.idle_since.get_or_insert(self.now);
         if !is_idle {
             self.idle_since = None;
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -40,9 +40,10 @@
     }
 
     /// Sends waiting tasks to workers with free capacity, in the order of their jobs' ranks. An entry that is behind sends
-    /// none: it could not follow their runs.
+    /// none: it could not follow their runs. Neither does one that has resumed and does not know yet which callers still wait.
     pub(super) fn place_ready_tasks(&mut self) {
-        if self.load.is_strained() || !self.job_table.has_ready() || !self.worker_registry.has_free_capacity(self.now) {
+        let is_held = self.load.is_strained() || self.resume_barrier.is_raised();
+        if is_held || !self.job_table.has_ready() || !self.worker_registry.has_free_capacity(self.now) {
             return;
         }
         for id in self.job_table.ready_jobs(self.now) {
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod job_order;
 mod job_table;
 mod open_job;
+mod resume_barrier;
 mod run_times;
 mod straggler_rule;
 mod worker_capacity;
--- a/crates/runs/tests/resumed_entry.rs
+++ b/crates/runs/tests/resumed_entry.rs
@@ -61,6 +61,7 @@
 /// caller `delay` milliseconds after the tick. Returns for how many milliseconds a worker runs a task of the job afterwards.
 fn resume_entry(site: &mut SiteBench, order: ReadOrder, delay: u64, others: Vec<DispatchEvent>) -> u64 {
     let resumed_at = site.now();
+    site.unread_disconnects.insert(ReplyId(1));
     site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Tick]);
     let is_later = |event: &DispatchEvent| order == ReadOrder::ClosedLater && matches!(event, DispatchEvent::SessionClosed(_));
     let (closed, arrived): (Vec<_>, Vec<_>) = site.take_arrived().into_iter().partition(is_later);
@@ -126,3 +127,65 @@
     let others = vec![site.make_request(CALLER, 1)];
     assert_eq!(resume_entry(&mut site, order, delay, others), 0);
 }
+
+/// Returns a site whose entry has resumed and keeps the request of a caller that still waits.
+fn resume_with_request() -> SiteBench {
+    let mut site = make_site(false);
+    pause_entry(&mut site, 1_300);
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Tick]);
+    site.request(CALLER, 1);
+    site
+}
+
+// Guards against an entry that places nothing any more after a pause.
+#[test]
+fn request_of_a_caller_that_still_waits_is_placed() {
+    let mut site = resume_with_request();
+    assert_eq!((site.starts.len(), site.answers.len()), (0, 0), "the connections have not been read yet");
+    site.advance(site.now() + 50);
+    assert_eq!(site.starts.len(), 1, "answers {:?}", site.answers);
+}
+
+// Guards against a wait without a bound if the confirmation is lost.
+#[test]
+fn lost_confirmation_delays_a_request_for_a_second() {
+    let mut site = resume_with_request();
+    // This disconnect never arrives.
+    site.unread_disconnects.insert(ReplyId(99));
+    site.advance(site.now() + 990);
+    assert_eq!((site.starts.len(), site.answers.len()), (0, 0));
+    site.advance(site.now() + 30);
+    assert_eq!(site.starts.len(), 1, "answers {:?}", site.answers);
+}
+
+// Guards against a disconnect of a second pause that is taken for read because the connections were read after the first one.
+#[test]
+fn confirmation_of_an_earlier_pause_does_not_count() {
+    let mut site = resume_with_request();
+    site.unread_disconnects.insert(ReplyId(99));
+    site.advance(site.now() + 20);
+    pause_entry(&mut site, 600);
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::Tick]);
+    site.advance(site.now() + 50);
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::CallersConfirmed(1)]);
+    site.advance(site.now() + 50);
+    assert_eq!((site.starts.len(), site.answers.len()), (0, 0));
+    site.deliver_batch(Duration::ZERO, vec![DispatchEvent::CallersConfirmed(2)]);
+    site.advance(site.now() + 20);
+    assert_eq!(site.starts.len(), 1, "answers {:?}", site.answers);
+}
+
+// Callers resubmit after 1,300 ms, and runs end within 958 ms of the last report of their agent.
+#[rstest]
+#[case(340, false)]
+#[case(345, true)]
+fn entry_waits_only_after_a_stall_that_callers_may_have_used(#[case] stall: u64, #[case] is_kept: bool) {
+    let mut site = make_site(false);
+    site.is_paused = true;
+    site.advance(site.now() + stall);
+    site.is_paused = false;
+    let arrived = site.take_arrived();
+    site.deliver_batch(Duration::ZERO, arrived);
+    site.request(CALLER, 1);
+    assert_eq!(site.starts.is_empty(), is_kept);
+}
--- a/crates/runs/tests/support/simulation.rs
+++ b/crates/runs/tests/support/simulation.rs
@@ -41,6 +41,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a call to a worker counts as unanswered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time until an entry's process confirms that the callers' connections were read.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(3);
 /// Delay between the kill of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
@@ -298,6 +300,11 @@
                 }
             }
             DispatchAction::Log(line) => self.log_lines.push(format!("{} entry-{entry} {line}", self.now)),
+            DispatchAction::ConfirmCallers(number) => {
+                let incarnation = self.entries[entry].incarnation;
+                let confirmed = DispatchEvent::CallersConfirmed(number);
+                self.schedule(CONFIRMATION_DELAY, SimulationEvent::DeliverToEntry(entry, incarnation, confirmed));
+            }
             DispatchAction::Measured(_) | DispatchAction::Drained => {}
         }
     }
--- a/crates/runs/tests/support/site_bench.rs
+++ b/crates/runs/tests/support/site_bench.rs
@@ -17,6 +17,8 @@
 
 /// Sessions of an agent from this number on are with another entry.
 pub const OTHER_ENTRY: u64 = 50;
+/// Minimum time until the entry's host confirms that the callers' connections were read, in milliseconds.
+const CONFIRMATION_DELAY_MS: u64 = 2;
 
 /// The direction of a frame on a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -63,6 +65,8 @@
     pub width: u16,
     /// Estimated run time of these tasks, in milliseconds.
     pub estimate: u64,
+    /// Callers whose disconnects are in the sockets of the entry's host and have not been delivered.
+    pub unread_disconnects: BTreeSet<ReplyId>,
     /// The starts that the entry ordered.
     pub starts: Vec<OrderedStart>,
     /// The entry's log lines, with their times.
@@ -70,6 +74,8 @@
     /// The answers to callers, with their times.
     pub answers: Vec<(u64, ReplyId, CallerAnswer)>,
     now: u64,
+    /// The confirmation that the entry has asked for, and when its host can give it at the earliest.
+    confirmation: Option<(u64, u64)>,
     to_entry: Vec<(SessionId, Option<RunFrame>)>,
     to_agents: Vec<(SessionId, OrderFrame)>,
     double_runs: BTreeMap<TaskId, DoubleRun>,
@@ -89,10 +95,12 @@
             is_paused: false,
             width: 1,
             estimate: 100,
+            unread_disconnects: BTreeSet::new(),
             starts: Vec::new(),
             entry_log: Vec::new(),
             answers: Vec::new(),
             now: 10,
+            confirmation: None,
             to_entry: Vec::new(),
             to_agents: Vec::new(),
             double_runs: BTreeMap::new(),
@@ -134,6 +142,11 @@
 
     /// Delivers events to the entry in one batch, of which the oldest has waited for `lag`.
     pub fn deliver_batch(&mut self, lag: Duration, events: Vec<DispatchEvent>) {
+        for event in &events {
+            if let DispatchEvent::CallerDisconnected(reply) = event {
+                self.unread_disconnects.remove(reply);
+            }
+        }
         for action in self.entry.handle_batch(MonoTime::from_millis(self.now), lag, events) {
             match action {
                 DispatchAction::Send { session, frame } => {
@@ -145,6 +158,7 @@
                 }
                 DispatchAction::Log(line) => self.entry_log.push((self.now, line)),
                 DispatchAction::Reply { reply, answer } => self.answers.push((self.now, reply, answer)),
+                DispatchAction::ConfirmCallers(number) => self.confirmation = Some((number, self.now + CONFIRMATION_DELAY_MS)),
                 _ => {}
             }
         }
@@ -168,6 +182,7 @@
             for event in self.take_arrived() {
                 self.deliver_batch(Duration::ZERO, vec![event]);
             }
+            self.confirm_callers();
             if self.now.is_multiple_of(10) {
                 self.deliver_batch(Duration::ZERO, vec![DispatchEvent::Tick]);
             }
@@ -203,6 +218,15 @@
         self.double_runs.values().cloned().collect()
     }
 
+    /// Confirms that the callers' connections were read, once their disconnects have been delivered.
+    fn confirm_callers(&mut self) {
+        let due = self.confirmation.filter(|(_, due_at)| self.now >= *due_at && self.unread_disconnects.is_empty());
+        if let Some((number, _)) = due {
+            self.confirmation = None;
+            self.deliver_batch(Duration::ZERO, vec![DispatchEvent::CallersConfirmed(number)]);
+        }
+    }
+
     fn deliver_to_agents(&mut self) {
         let held = &self.held;
         let frames = std::mem::take(&mut self.to_agents);
