--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -99,6 +99,8 @@
         let wait = match is_renewing {
             true if needs_short_wait => SHORT_POLL_WAIT,
             true => POLL_WAIT,
+            // No lease is granted while a run has to end. The list shows when it has.
+            false if incarnation.is_settled && self.polls.failures == 0 && self.runs.has_runs_at_worker() => SHORT_POLL_WAIT,
             false => Duration::ZERO,
         };
         let observed = incarnation.observed;
