A confirmed heartbeat begins its incarnation once; one check of whether a worker accepts starts

Found on reading the change again; no run ended or started by it. The condition under which a worker accepts starts stood in two places. Change: the successor is dropped before the replacement. WorkerIncarnation::accepts_starts serves the gate and the reports. Test: incarnation_changes::confirmed_heartbeat_begins_one_incarnation failed before (3 worker_found lines in place of 2) and passes.

--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -106,6 +106,7 @@
 
     /// Replaces the incarnation after a list of another one has shown that it is at the worker's address.
     fn replace_incarnation(&mut self, notice: WorkerNotice, end: IncarnationEnd) {
+        self.successor = None;
         self.lose_incarnation(end);
         self.begin_incarnation(notice);
     }
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -130,8 +130,7 @@
 
     /// Returns whether runs may start at the worker now.
     pub(super) fn accepts_starts(&self) -> bool {
-        let can_start = |incarnation: &WorkerIncarnation| incarnation.is_settled && incarnation.notice.is_ready && !incarnation.is_leaving;
-        let is_ready = self.incarnation.as_ref().is_some_and(can_start);
+        let is_ready = self.incarnation.as_ref().is_some_and(WorkerIncarnation::accepts_starts);
         let is_in_service = self.drain_started_at.is_none() && !self.plan.zones_out.contains(&self.options.zone);
         // A start takes part in the lease that covers all runs, which is short while one of them has to end.
         let has_lease = self.next_worker_lease() * 2 > self.options.lease_terms.worker_lease;
--- a/crates/runs/src/agent/worker_incarnation.rs
+++ b/crates/runs/src/agent/worker_incarnation.rs
@@ -80,9 +80,14 @@
         self.notice = WorkerNotice { is_ready, ..notice };
     }
 
+    /// Returns whether the worker accepts starts and is known to run nothing that the agent does not know.
+    pub fn accepts_starts(&self) -> bool {
+        self.is_settled && self.notice.is_ready && !self.is_leaving
+    }
+
     /// Returns the worker's information for reports to entries. The worker is reported as ready only once it is settled.
     pub fn worker_info(&self) -> WorkerInfo {
-        let WorkerNotice { worker, service, capacity, labels, is_ready, cold, .. } = self.notice.clone();
-        WorkerInfo { worker, service, capacity, labels, is_ready: is_ready && self.is_settled && !self.is_leaving, cold }
+        let WorkerNotice { worker, service, capacity, labels, cold, .. } = self.notice.clone();
+        WorkerInfo { worker, service, capacity, labels, is_ready: self.accepts_starts(), cold }
     }
 }
--- a/crates/runs/tests/incarnation_changes.rs
+++ b/crates/runs/tests/incarnation_changes.rs
@@ -79,6 +79,17 @@
     assert_eq!(bench.outlived(), vec![]);
 }
 
+// Guards against a confirmed heartbeat that begins its incarnation twice, which raises the fencing token twice.
+#[test]
+fn confirmed_heartbeat_begins_one_incarnation() {
+    let mut bench = AgentBench::new();
+    bench.worker = WorkerModel::new(MonoTime::from_millis(bench.now()), "i-2", BORN + 1, bench.worker.capacity);
+    bench.beat("i-2", BORN + 1);
+    bench.advance(200);
+    let found = bench.log_lines.iter().filter(|(_, line)| line.contains("event=worker_found")).count();
+    assert_eq!(found, 2, "{:?}", bench.log_lines);
+}
+
 // Guards against ends that are not acknowledged, because the agent stops calling a worker that has deregistered as soon as its last run
 // has ended.
 #[test]
