--- a/crates/core/src/caller_job.rs
+++ b/crates/core/src/caller_job.rs
@@ -14,6 +14,8 @@
 const JOB_ID_DIGITS: usize = 16;
 /// Maximum number of tasks in a job.
 pub const CALLER_TASKS_MAX: usize = 2_000;
+/// Maximum estimate of a task's run time: a day. The sums and multiples of estimates that decide a job's rank stay in range.
+pub const ESTIMATE_MAX: Millis = Millis(24 * 3_600 * 1_000);
 
 /// Identifies a job; chosen by its caller. The text form has 16 lower-case hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -127,9 +129,9 @@
 
     fn add(self, other: Self) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory: Megabytes(self.memory.0 + other.memory.0),
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory: Megabytes(self.memory.0.saturating_add(other.memory.0)),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 }
@@ -175,6 +177,9 @@
         if !self.steps.iter().enumerate().all(is_ordered) {
             return Some("a step comes after earlier steps only");
         }
+        if self.steps.iter().any(|step| step.estimate > ESTIMATE_MAX) {
+            return Some("a task's estimated run time is at most a day");
+        }
         None
     }
 }
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -218,7 +218,7 @@
 /// Returns whether entries should learn at once that other entries' use of a worker has changed from `before` to `after`, while
 /// all entries use `used` of its `capacity`, all in millicores.
 fn is_significant(capacity: u64, before: u64, after: u64, used: u64) -> bool {
-    let scarce = capacity * SCARCE_PERCENT / 100;
+    let scarce = capacity.saturating_mul(SCARCE_PERCENT) / 100;
     let freed = before.saturating_sub(after);
-    before != after && (capacity.saturating_sub(used) < scarce + freed || before.abs_diff(after) >= scarce)
+    before != after && (capacity.saturating_sub(used) < scarce.saturating_add(freed) || before.abs_diff(after) >= scarce)
 }
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -188,7 +188,7 @@
 
     /// Returns the free capacity less `percent` of the worker's processor capacity.
     fn free_capacity_without(&self, percent: u64) -> ResourceAmount {
-        let millicores = self.info.as_ref().map_or(0, |info| info.capacity.millicores * percent / 100);
+        let millicores = self.info.as_ref().map_or(0, |info| info.capacity.millicores.saturating_mul(percent) / 100);
         self.free_capacity().saturating_sub(&ResourceAmount { millicores, ..ResourceAmount::default() })
     }
 
--- a/crates/runs/src/remote_clock.rs
+++ b/crates/runs/src/remote_clock.rs
@@ -30,7 +30,7 @@
     /// this one, so it can't have advanced further since the reading than this one since the call. A lower bound beyond that is
     /// wrong: the other clock stood still, for example while its host was suspended. The reading then replaces it.
     pub fn record_answer(&mut self, sent_at: MonoTime, now: MonoTime, clock: u64) {
-        let latest = clock + (now.since(sent_at) + READING_RESOLUTION).as_millis() as u64;
+        let latest = clock.saturating_add((now.since(sent_at) + READING_RESOLUTION).as_millis() as u64);
         if self.at(now).is_some_and(|lower_bound| lower_bound > latest) {
             self.reading = None;
         }
@@ -41,7 +41,7 @@
     pub fn at(&self, now: MonoTime) -> Option<u64> {
         let (at, clock) = self.reading?;
         let elapsed = now.since(at) * CLOCK_RATE_PERCENT_MIN / 100;
-        Some(clock + elapsed.as_millis() as u64)
+        Some(clock.saturating_add(elapsed.as_millis() as u64))
     }
 
     /// Returns the age of the reading that the lower bound is computed from, or `None` before the first one.
@@ -52,7 +52,7 @@
     /// Returns when a lease of `duration` that begins at `now` ends on the other clock. Before the first reading it
     /// returns zero, which is a lease that has already ended.
     pub fn lease_end(&self, now: MonoTime, duration: Duration) -> u64 {
-        self.at(now).map_or(0, |clock| clock + duration.as_millis() as u64)
+        self.at(now).map_or(0, |clock| clock.saturating_add(duration.as_millis() as u64))
     }
 
     /// Returns how much later than the lower bound a reading was taken to be received at `now`: the delay of its transfer,
--- /dev/null
+++ b/crates/runs/tests/extreme_values.rs
@@ -0,0 +1,106 @@
+//! Tests that no value of a caller, an operator or an agent ends an entry's control thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::caller_job::{JobStep, ResourceAmount, RunId, TaskId};
+use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::run_frames::{OrderId, RunFrame, RunHello, RunProgress, RunReport, SessionOrder, WorkerInfo};
+use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
+use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, RequestKind};
+
+mod support;
+use support::callers::CallerState;
+use support::plans::{make_options, make_plan};
+
+fn started_entry(slack_percent: u32) -> DispatchControl {
+    let mut entry = DispatchControl::new(make_options(0));
+    let mut plan = make_plan(2);
+    let table = Arc::make_mut(plan.table.as_mut().expect("the plan has routes"));
+    Arc::make_mut(&mut table.routes[0]).slack_percent = slack_percent;
+    entry.handle(MonoTime::from_millis(1), DispatchEvent::PlanRead(plan));
+    entry
+}
+
+fn submit(entry: &mut DispatchControl, reply: u64, request: CallerRequest) -> Vec<CallerAnswer> {
+    let actions = entry.handle(MonoTime::from_millis(10), DispatchEvent::Requested { reply: ReplyId(reply), request });
+    let answers = actions.into_iter().filter_map(|action| match action {
+        DispatchAction::Reply { answer, .. } => Some(answer),
+        _ => None,
+    });
+    answers.collect()
+}
+
+// Guards against a caller whose estimates, added up along a chain of steps or multiplied by the route's slack, end the entry.
+#[rstest]
+#[case::chain_of_steps(2_000, u64::MAX, 160)]
+#[case::slack(1, u64::MAX, u32::MAX)]
+fn estimate_beyond_all_bounds_is_malformed(#[case] steps: u16, #[case] estimate: u64, #[case] slack_percent: u32) {
+    let mut entry = started_entry(slack_percent);
+    let mut request = CallerState::new(1, 1, estimate).request();
+    if let RequestKind::Submit(draft) = &mut request.kind {
+        let first = draft.steps[0].clone();
+        draft.steps = (0..steps).map(|step| JobStep { after: (0..step).rev().take(1).collect(), ..first.clone() }).collect();
+    }
+    let answers = submit(&mut entry, 1, request);
+    assert!(matches!(answers[..], [CallerAnswer::Malformed(_)]), "{answers:?}");
+}
+
+// Guards against a caller whose demand or patience is beyond what the entry can add up.
+#[rstest]
+fn demand_and_patience_beyond_all_bounds_are_answered(#[values(Some(Duration::from_millis(u64::MAX)), None)] timeout: Option<Duration>) {
+    let mut entry = started_entry(160);
+    let mut request = CallerState::new(1, 2, 100).request();
+    request.caller_timeout = timeout;
+    if let RequestKind::Submit(draft) = &mut request.kind {
+        draft.steps[0].demand.millicores = u64::MAX;
+        draft.steps[0].demand.memory = Megabytes(u64::MAX);
+    }
+    submit(&mut entry, 1, request.clone());
+    submit(&mut entry, 2, request);
+    entry.handle(MonoTime::from_millis(2_000), DispatchEvent::Tick);
+}
+
+// Guards against a report whose figures end the entry.
+#[test]
+fn report_beyond_all_bounds_is_handled() {
+    let mut entry = started_entry(160);
+    let hello = RunHello {
+        agent: "agent-1".parse().expect("a valid name"),
+        incarnation: Incarnation(1),
+        order: SessionOrder::default(),
+        zone: "zone-0".parse().expect("a valid name"),
+        plan_version: u64::MAX,
+        unsettled: Vec::new(),
+    };
+    entry.handle(MonoTime::from_millis(2), DispatchEvent::Frame { session: SessionId(1), frame: RunFrame::Hello(hello) });
+    let mut request = CallerState::new(1, 1, 100).request();
+    request.caller_timeout = Some(Duration::from_secs(2));
+    let run = RunId { task: TaskId { job: CallerState::new(1, 1, 100).id, step: u16::MAX, index: u16::MAX }, run: u32::MAX };
+    let report = RunReport {
+        sent_at: Millis(u64::MAX),
+        entries: u32::MAX,
+        worker: Some(WorkerInfo {
+            worker: "i-1".into(),
+            service: "desk".parse().expect("a valid name"),
+            capacity: ResourceAmount { millicores: u64::MAX, memory: Megabytes(u64::MAX), accelerators: u32::MAX },
+            labels: Vec::new(),
+            is_ready: true,
+            cold: Millis(u64::MAX),
+        }),
+        progress: vec![RunProgress {
+            run,
+            order: OrderId { entry: Incarnation(1), number: 1 },
+            percent: u8::MAX,
+            elapsed: Millis(u64::MAX),
+        }],
+        ..RunReport::default()
+    };
+    for at in [3, 4, 500, 2_000] {
+        entry.handle(MonoTime::from_millis(at), DispatchEvent::Frame { session: SessionId(1), frame: RunFrame::Report(report.clone()) });
+    }
+    submit(&mut entry, 1, request);
+    entry.handle(MonoTime::from_millis(2_500), DispatchEvent::Tick);
+}
