Repeated calls keep no worker behind: their pace follows its answers

Cause: a state that the agents' retries alone sustain. A worker that is behind also serves calls that have timed out. Agents sent each unanswered start and stop again every 25 ms, without an end, and polled unanswered workers every 50 ms; for two seconds after a call was unanswered they polled in short, overlapping waits. In the model of ten workers on one host (test call_backlog), whose load takes 56 to 80% of its time, a slowness of one or two seconds left 1,500 to 3,494 calls waiting; 3 s after it nothing was completed.

Change: while no call is answered, one start or stop and one poll are repeated in each interval, which grows from 25 to 250 ms. Calls are repeated after twice the measured delay of answers; after an ambiguous answer the interval is doubled until the next clear one. Short, overlapping polls are kept to workers that answer in time what they answer. A start is abandoned after 150 ms instead of six calls.

--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -1,6 +1,7 @@
 //! The control state of an agent. The agent is the only process that calls its worker, and so the only one that starts
 //! leased runs there.
 
+mod call_pacing;
 mod incarnations;
 mod lease_polls;
 mod orders;
@@ -266,7 +267,9 @@
         }
         if reply.is_answer() {
             self.worker_answered_at = self.now;
+            self.polls.pacing.record_answer();
         } else {
+            self.polls.pacing.record_unanswered(self.now);
             self.polls.lossy_until = self.now + lease_polls::LOSSY_INTERVAL;
         }
         match reply {
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -7,6 +7,7 @@
 use vanillacleat_core::run_frames::{EndEvidence, EndSign, RunOutcome};
 use vanillacleat_core::units::{Millis, MonoTime};
 
+use super::call_pacing::CallPacing;
 use super::incarnations::IncarnationEnd;
 use super::RunnerControl;
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
@@ -48,6 +49,8 @@
     pub failures: u32,
     /// When the poll was sent that returned the last list of runs.
     pub list_sent_at: Option<MonoTime>,
+    /// How the incarnation answers calls.
+    pub pacing: CallPacing,
     /// The last poll of another incarnation.
     pub probe: Option<Probe>,
 }
@@ -84,13 +87,16 @@
             return;
         };
         let is_needed = !incarnation.is_settled || self.runs.has_runs_at_worker() || incarnation.observed > incarnation.acknowledged;
-        let is_lossy = self.now < self.polls.lossy_until;
+        let is_lossy = self.now < self.polls.lossy_until && self.polls.pacing.answers_in_time();
         let awaited_max = if is_lossy && incarnation.is_settled { LOSSY_POLLS_MAX } else { 1 };
         let is_awaited = |poll: &&PendingPoll| self.now.since(poll.sent_at) < poll.wait + POLL_LOSS_TIMEOUT;
         let awaited = self.polls.pending.values().filter(is_awaited).count();
         if !is_needed || awaited >= awaited_max || self.polls.pending.len() >= PENDING_POLLS_MAX || self.now < self.polls.due_at {
             return;
         }
+        if !self.polls.pacing.allows_poll(self.now) {
+            return;
+        }
         let is_renewing =
             incarnation.is_settled && self.runs.has_runs_at_worker() && self.polls.failures == 0 && !self.next_worker_lease().is_zero();
         let lease_end = is_renewing.then(|| self.next_lease_end());
@@ -132,9 +138,16 @@
     }
 
     pub(super) fn handle_poll_reply(&mut self, number: u64, reply: LeasePollReply) {
-        let Some(PendingPoll { sent_at, .. }) = self.polls.pending.remove(&number) else {
+        let Some(PendingPoll { sent_at, wait }) = self.polls.pending.remove(&number) else {
             return;
         };
+        let elapsed = self.now.since(sent_at);
+        match &reply {
+            LeasePollReply::Unanswered => {}
+            // The worker answers early if a run has ended.
+            LeasePollReply::Runs(list) if !list.ended.is_empty() => self.polls.pacing.limit_delay(elapsed),
+            _ => self.polls.pacing.record_delay(elapsed.saturating_sub(wait)),
+        }
         match reply {
             LeasePollReply::Runs(list) => self.handle_run_list(sent_at, &list),
             LeasePollReply::Fenced => self.raise_fencing_token(),
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -19,10 +19,10 @@
 /// Time without an answer after which a start counts as overdue. A worker on the same host usually answers in about a
 /// millisecond.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time without an answer after which a start or stop call is sent again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(25);
-/// Number of start calls after which an unanswered start is abandoned.
-const START_TRIES_MAX: u32 = 6;
+/// Time without an answer after which a start or stop call is sent again, to a worker that answers in time.
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(25);
+/// Time without an answer after which a start is abandoned.
+const START_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time that a start waits for free capacity at this worker. After that it is rejected, because its entry may
 /// find a worker that can start it sooner.
 const QUEUE_WAIT_MAX: Duration = Duration::from_millis(10);
@@ -177,7 +177,7 @@
             }
             return;
         }
-        record.state = RunState::Starting { tries: 1, retry_at: now + RETRY_INTERVAL };
+        record.state = RunState::Starting { tries: 1, retry_at: now + self.polls.pacing.repeat_interval() };
         record.started_at = now;
         record.open_calls = 1;
         let payload = record.payload.clone();
@@ -209,7 +209,7 @@
     }
 
     /// Sends unanswered starts again. A repeated start does not make the worker run the same run twice. After
-    /// [`START_TRIES_MAX`] calls the start is abandoned and the run is stopped.
+    /// [`START_TIMEOUT`] the start is abandoned and the run is stopped.
     pub(super) fn retry_starts(&mut self) {
         let now = self.now;
         let mut due = Vec::new();
@@ -220,11 +220,15 @@
             if now < *retry_at {
                 continue;
             }
-            if *tries >= START_TRIES_MAX {
+            if now.since(record.started_at) >= START_TIMEOUT {
                 record.request_stop(now, StopCause::Unanswered);
                 continue;
             }
-            (*tries, *retry_at) = (*tries + 1, now + RETRY_INTERVAL);
+            *retry_at = now + self.polls.pacing.repeat_interval();
+            if !self.polls.pacing.allows_order(now) {
+                continue;
+            }
+            *tries += 1;
             record.open_calls += 1;
             due.push((*run, record.payload.clone()));
         }
@@ -240,6 +244,11 @@
     pub(super) fn handle_start_reply(&mut self, run: RunId, reply: StartReply) {
         if let Some(record) = self.runs.get_mut(&run).filter(|_| reply != StartReply::Unanswered) {
             record.open_calls = record.open_calls.saturating_sub(1);
+            match record.state {
+                RunState::Starting { tries: 1, .. } => self.polls.pacing.record_delay(record.elapsed_since_start(self.now)),
+                RunState::Starting { .. } => self.polls.pacing.record_repeated(),
+                _ => {}
+            }
         }
         match reply {
             StartReply::Started(clock) => {
@@ -299,8 +308,8 @@
         let mut due = Vec::new();
         for (run, record) in self.runs.iter_mut() {
             if let RunState::Stopping { call_at, taken_at: None, .. } = &mut record.state {
-                if now >= *call_at {
-                    *call_at = now + RETRY_INTERVAL;
+                if now >= *call_at && (record.stop_calls == 0 || self.polls.pacing.allows_order(now)) {
+                    *call_at = now + self.polls.pacing.repeat_interval();
                     record.stop_calls += 1;
                     due.push((*run, record.stop_cause, record.stop_calls));
                 }
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -23,7 +23,7 @@
 /// Start of the worker's first incarnation.
 pub const BORN: u64 = 1_000;
 /// Time in milliseconds after which an unanswered call fails, in addition to the wait of a lease poll.
-const CALL_TIMEOUT: u64 = 80;
+pub const CALL_TIMEOUT: u64 = 80;
 /// Default run time of a run.
 const RUN_TIME: Duration = Duration::from_secs(20);
 
@@ -43,7 +43,8 @@
     pub token: u64,
     /// The call.
     pub call: WorkerCall,
-    sent_at: u64,
+    /// When the call was sent, in milliseconds.
+    pub sent_at: u64,
 }
 
 /// A run whose end was reported to its entry although its worker ran it at that time or later.
@@ -71,6 +72,8 @@
     pub run_time: Duration,
     /// The calls that were lost, for a test to execute later.
     pub lost_calls: Vec<SentCall>,
+    /// Whether new calls wait for the test to take them. Otherwise the worker executes them after a millisecond.
+    pub holds_calls: bool,
     /// Sessions whose entries answer reports.
     pub answering: BTreeSet<SessionId>,
     /// The ends that were reported, with their sessions and times.
@@ -129,6 +132,7 @@
             is_lost: |_| false,
             run_time: RUN_TIME,
             lost_calls: Vec::new(),
+            holds_calls: false,
             answering: BTreeSet::from([SessionId(1), SessionId(2)]),
             ends: Vec::new(),
             hellos: Vec::new(),
@@ -244,7 +248,9 @@
                     self.deliver(RunnerEvent::Frame { session, frame: OrderFrame::Orders(orders) });
                 }
             }
-            self.execute_new_calls();
+            if !self.holds_calls {
+                self.execute_new_calls();
+            }
             self.answer_polls();
             self.fail_calls();
             if self.now.is_multiple_of(10) {
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -7,5 +7,6 @@
 pub mod checks;
 pub mod faults;
 pub mod plans;
+pub mod shared_host;
 pub mod simulation;
 pub mod site_bench;
