Workers' speeds by route, learned at their agents and used by entries

An entry had one mean ratio of run time per route and compared workers by free cores only, so a slow kind counted as unhealthy and got urgent work. Agents now keep a sketch of run time by estimate for each route and report it; entries expect the run time of a task on each worker, with the kind as the prior, and choose by it. Slow means slower than the worker's own or its kind's expected time, in several runs.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -102,6 +102,30 @@
     pub plan_version: u64,
     /// Progress of this entry's runs, from which the entry detects those that have stalled or fallen behind.
     pub progress: Vec<RunProgress>,
+    /// The worker's speeds that have changed noticeably since they were last reported.
+    pub speeds: Vec<RouteSpeed>,
+}
+
+/// How long the runs of one route take at a worker, relative to the callers' estimates.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteSpeed {
+    /// The route's name.
+    pub route: SmolStr,
+    /// Median of run time by estimate, in percent.
+    pub typical_percent: u32,
+    /// Ninetieth percentile of run time by estimate, in percent.
+    pub high_percent: u32,
+    /// Number of runs that this was learned from.
+    pub runs: u32,
+}
+
+/// The speeds that an entry knows of an agent's worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownSpeeds {
+    /// The kind of the worker at which they were learned.
+    pub kind: Option<SmolStr>,
+    /// The speeds, by route.
+    pub routes: Vec<RouteSpeed>,
 }
 
 /// A worker's description of itself.
@@ -113,12 +137,21 @@
     pub service: ServiceName,
     /// Total capacity of the worker.
     pub capacity: ResourceAmount,
-    /// Labels of the worker, such as its kind and its rack.
+    /// Labels of the worker: its kind, then others such as its rack.
     pub labels: Vec<SmolStr>,
     /// Whether the worker accepts starts.
     pub is_ready: bool,
     /// Time for which the worker will still be slow after its own start.
     pub cold: Millis,
+    /// Minimum time until the worker leaves; absent unless it has given notice.
+    pub leaves_in: Option<Millis>,
+}
+
+impl WorkerInfo {
+    /// Returns the label that names the worker's kind, if it has labels.
+    pub fn kind(&self) -> Option<&SmolStr> {
+        self.labels.first()
+    }
 }
 
 /// Progress of a run.
@@ -274,6 +307,8 @@
     PlanRequest,
     /// Sends the entries that the platform's store lists.
     Entries(Vec<EntryRecord>),
+    /// Sends what the entry knows of the worker's speeds, after the hello of a process that may not know them.
+    Speeds(KnownSpeeds),
 }
 
 /// An entry as agents know it before they open a session.
@@ -295,6 +330,8 @@
     pub leased_from: Millis,
     /// The payloads that the starts refer to by index.
     pub payloads: Vec<SmolStr>,
+    /// The routes that the starts refer to by index.
+    pub routes: Vec<SmolStr>,
     /// Runs to start.
     pub starts: Vec<RunStart>,
     /// Runs to stop.
@@ -312,4 +349,8 @@
     pub demand: ResourceAmount,
     /// Index of the task's payload in [`RunOrders::payloads`].
     pub payload: u16,
+    /// Index of the job's route in [`RunOrders::routes`].
+    pub route: u16,
+    /// The caller's estimate of the run time; zero if there is none.
+    pub estimate: Millis,
 }
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -52,6 +52,7 @@
     sessions: Gauge,
     strained: Gauge,
     outdated_hellos: Counter,
+    refused_speeds: Counter,
 }
 
 impl EntryLoop {
@@ -68,6 +69,7 @@
             sessions: metrics::gauge!("runs_sessions"),
             strained: metrics::gauge!("runs_entry_strained"),
             outdated_hellos: metrics::counter!("runs_outdated_hellos_total"),
+            refused_speeds: metrics::counter!("runs_refused_speeds_total"),
         }
     }
 
@@ -150,6 +152,7 @@
     fn publish_status(&self) {
         self.sessions.set(self.session_queues.len() as f64);
         self.outdated_hellos.absolute(self.control.outdated_hellos());
+        self.refused_speeds.absolute(self.control.refused_speeds());
         self.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
         self.status.is_ready.store(self.control.is_ready(), Ordering::Relaxed);
         self.status.is_draining.store(self.control.is_draining(), Ordering::Relaxed);
--- a/crates/runs/src/agent/mod.rs
+++ b/crates/runs/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod entry_selection;
+mod run_speeds;
 mod run_table;
 mod runner;
 mod session_lease;
@@ -9,6 +10,8 @@
 
 pub use calls::{EndedRun, LeasePollReply, RunList, RunningTask, StartRejection, StartReply, StopReply, WorkerCall, WorkerReply};
 pub use entry_selection::{select_entries, EntryCandidate, SelectionLimits};
+pub(crate) use run_speeds::is_plausible;
+pub use run_speeds::RunSpeeds;
 pub use run_table::{RunState, RunTable};
 pub use runner::{RunnerAction, RunnerControl, RunnerEvent, RunnerOptions};
 pub use session_lease::SessionLease;
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -105,6 +105,10 @@
     pub demand: ResourceAmount,
     /// The task's payload.
     pub payload: SmolStr,
+    /// The job's route; empty if the order names none.
+    pub route: SmolStr,
+    /// The caller's estimate of the run time; zero if there is none.
+    pub estimate: Duration,
     /// The state of the run.
     pub state: RunState,
     /// When the order was received.
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -21,6 +21,7 @@
 
 use super::calls::{WorkerCall, WorkerReply};
 use super::entry_selection::EntrySelection;
+use super::run_speeds::RunSpeeds;
 use super::run_table::{RunState, RunTable, StopCause};
 use super::session_lease::SessionLease;
 use super::worker_incarnation::{WorkerIncarnation, WorkerNotice};
@@ -148,6 +149,8 @@
     /// Changes with each incarnation that begins or ends, so that replies to calls of an earlier one are ignored.
     incarnation_number: u64,
     runs: RunTable,
+    /// The speed of the worker, learned from the runs of all entries.
+    speeds: RunSpeeds,
     sessions: BTreeMap<SessionId, SessionLease>,
     /// Number of the last session that was introduced to an entry.
     last_session_number: u64,
@@ -177,6 +180,7 @@
             former: None,
             incarnation_number: 0,
             runs: RunTable::default(),
+            speeds: RunSpeeds::default(),
             sessions: BTreeMap::new(),
             last_session_number: 0,
             next_selection_at: MonoTime::ZERO,
@@ -227,6 +231,11 @@
         &self.runs
     }
 
+    /// Returns the number of speeds told by entries that were refused because they can't be true.
+    pub fn refused_speeds(&self) -> u64 {
+        self.speeds.refused()
+    }
+
     /// Returns the number of open sessions with entries.
     pub fn session_count(&self) -> usize {
         self.sessions.len()
@@ -247,6 +256,10 @@
             "is_settled": self.incarnation.as_ref().is_some_and(|incarnation| incarnation.is_settled),
             "sessions": self.sessions.values().map(|lease| lease.address.clone()).collect::<Vec<_>>(),
             "runs": runs.collect::<Vec<_>>(),
+            "speeds": self.speeds.speeds().map(|speed| (speed.route.to_string(), json!({
+                "typical_percent": speed.typical_percent, "high_percent": speed.high_percent, "runs": speed.runs,
+            }))).collect::<serde_json::Map<_, _>>(),
+            "speeds_refused": self.speeds.refused(),
         })
     }
 
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -142,6 +142,9 @@
         if self.lost_incarnation.as_ref().is_some_and(is_reborn) && self.lease_bound > MonoTime::ZERO {
             self.extend_lease_bound(self.options.lease_terms.worker_lease_max);
         }
+        if self.speeds.set_kind(notice.labels.first()) {
+            self.sessions.values_mut().for_each(|lease| lease.reported_speeds.clear());
+        }
         self.incarnation = Some(WorkerIncarnation::new(notice));
         self.successor = None;
         self.polls = PollState::default();
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::run_frames::{EndSign, OrderFrame, OrderedRun, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
@@ -41,6 +42,7 @@
                 self.actions.push(RunnerAction::Send { session, frame: RunFrame::Plan(plan) });
             }
             OrderFrame::Entries(entries) => self.add_entries(entries),
+            OrderFrame::Speeds(known) => self.speeds.merge(&known),
         }
     }
 
@@ -57,15 +59,16 @@
             return;
         };
         lease.renew(self.now, orders.leased_from, duration);
-        let RunOrders { payloads, starts, stops, leased_from } = orders;
+        let RunOrders { payloads, routes, starts, stops, leased_from } = orders;
         for start in starts {
             let payload = payloads.get(usize::from(start.payload)).cloned().unwrap_or_default();
-            self.handle_start(session, start, payload, MonoTime::from_millis(leased_from.0));
+            let route = routes.get(usize::from(start.route)).cloned().unwrap_or_default();
+            self.handle_start(session, start, (payload, route), MonoTime::from_millis(leased_from.0));
         }
         stops.iter().for_each(|stop| self.withdraw_order(stop));
     }
 
-    fn handle_start(&mut self, session: SessionId, start: RunStart, payload: smol_str::SmolStr, leased_from: MonoTime) {
+    fn handle_start(&mut self, session: SessionId, start: RunStart, (payload, route): (SmolStr, SmolStr), leased_from: MonoTime) {
         let Some(lease) = self.sessions.get(&session) else {
             return;
         };
@@ -81,6 +84,8 @@
             owners: vec![owner],
             demand: start.demand,
             payload,
+            route,
+            estimate: start.estimate.to_duration(),
             state: RunState::Queued,
             ordered_at: self.now,
             leased_from,
@@ -137,6 +142,11 @@
         is_ready && is_in_service && has_lease && !self.has_overdue_start()
     }
 
+    /// Returns whether the worker started recently and is still slow, which says nothing of its usual speed.
+    fn is_worker_cold(&self) -> bool {
+        self.incarnation.as_ref().is_some_and(|incarnation| incarnation.notice.cold > Millis(0))
+    }
+
     /// Returns whether the worker has answered no call since a start whose answer is overdue. More starts would
     /// probably go unanswered too, and their entries can place them at other workers.
     fn has_overdue_start(&self) -> bool {
@@ -336,6 +346,9 @@
             return;
         };
         let ran = Millis::from_duration(record.elapsed_since_start(self.now));
+        if outcome == RunOutcome::Done && !record.route.is_empty() && !self.is_worker_cold() {
+            self.speeds.record(&record.route, record.estimate, ran.to_duration());
+        }
         let evidence = self.evidence(if record.state == RunState::Queued { EndSign::NeverSent } else { sign });
         self.actions.push(RunnerAction::EndRecorded { outcome, sign: evidence.sign });
         self.log(format!("event=run_ended run={run} entry={} outcome={outcome:?} ran_ms={ran} {evidence}", record.entries()));
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -165,6 +165,7 @@
                 is_closed,
                 plan_version: self.plan.version().0,
                 progress: if used_by_entry.is_some() { self.runs.progress_of(*session) } else { Vec::new() },
+                speeds: self.speeds.news(&mut lease.reported_speeds),
             };
             lease.reported_worker.clone_from(&worker_info);
             lease.reported_closed = is_closed;
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -1,10 +1,11 @@
 //! A session with an entry and the lease that the entry renews over it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::ResourceAmount;
-use vanillacleat_core::run_frames::{RunEnd, WorkerInfo};
+use vanillacleat_core::run_frames::{RouteSpeed, RunEnd, WorkerInfo};
 use vanillacleat_core::units::{Millis, MonoTime};
 
 /// Time after which a session is closed and dialed again if a report on it is not answered. The session survives shorter
@@ -27,6 +28,8 @@
     pub reported_closed: bool,
     /// What the runs of other entries used according to the last report.
     pub reported_used_by_others: ResourceAmount,
+    /// The worker's speeds as last reported, by route.
+    pub reported_speeds: BTreeMap<SmolStr, RouteSpeed>,
     /// When the last report was sent.
     pub reported_at: Option<MonoTime>,
     /// When the last report that needs an answer was sent.
@@ -50,6 +53,7 @@
             reported_worker: None,
             reported_closed: true,
             reported_used_by_others: ResourceAmount::default(),
+            reported_speeds: BTreeMap::new(),
             reported_at: None,
             asked_at: None,
             received_at: None,
--- a/crates/runs/src/agent/worker_incarnation.rs
+++ b/crates/runs/src/agent/worker_incarnation.rs
@@ -27,6 +27,8 @@
     pub is_ready: bool,
     /// Remaining time for which the worker is slow because it started recently.
     pub cold: Millis,
+    /// Minimum time until the worker leaves; absent unless it has given notice.
+    pub leaves_in: Option<Millis>,
 }
 
 /// One incarnation of the worker: from a start of the process until it exits or crashes.
@@ -87,7 +89,7 @@
 
     /// Returns the worker's information for reports to entries. The worker is reported as ready only once it is settled.
     pub fn worker_info(&self) -> WorkerInfo {
-        let WorkerNotice { worker, service, capacity, labels, cold, .. } = self.notice.clone();
-        WorkerInfo { worker, service, capacity, labels, is_ready: self.accepts_starts(), cold }
+        let WorkerNotice { worker, service, capacity, labels, cold, leaves_in, .. } = self.notice.clone();
+        WorkerInfo { worker, service, capacity, labels, is_ready: self.accepts_starts(), cold, leaves_in }
     }
 }
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -20,6 +20,7 @@
 use super::job_table::JobTable;
 use super::resume_barrier::ResumeBarrier;
 use super::run_times::RouteTimes;
+use super::worker_capacity::WorkerCapacity;
 use super::worker_registry::WorkerRegistry;
 use crate::LeaseTerms;
 
@@ -335,6 +336,11 @@
         self.outdated_hellos
     }
 
+    /// Returns the number of speeds reported by agents that were refused because they can't be true.
+    pub fn refused_speeds(&self) -> u64 {
+        self.worker_registry.refused_speeds()
+    }
+
     /// Returns whether the entry is draining.
     pub fn is_draining(&self) -> bool {
         self.draining_since.is_some()
@@ -363,6 +369,9 @@
                 "entries": worker.entries,
                 "report_delay_ms": worker.report_delay.as_millis(),
                 "heard": worker.last_received_at.to_string(),
+                "kind": worker.kind(),
+                "is_slow": worker.is_slow,
+                "speeds": self.dump_speeds(worker),
             })
         });
         json!({
@@ -375,13 +384,28 @@
             "awaits_callers": self.resume_barrier.is_raised(),
             "entries": self.entries.iter().map(|entry| &entry.address).collect::<Vec<_>>(),
             "workers": workers.collect::<Vec<_>>(),
+            "speeds_refused": self.worker_registry.refused_speeds(),
+            "cold_factor": self.worker_registry.speed_table().cold_factor(),
             "jobs": jobs.collect::<Vec<_>>(),
         })
     }
 
+    /// Returns the expected ratios of run time to estimate at a worker in percent, by route.
+    fn dump_speeds(&self, worker: &WorkerCapacity) -> Value {
+        let speed_table = self.worker_registry.speed_table();
+        let percent = |ratio: f64| (ratio * 100.0).round() as u64;
+        let speeds = speed_table.routes().map(|(index, route)| {
+            let ratio = speed_table.ratio(self.now, index, worker);
+            let runs = worker.speeds.get(route).map_or(0, |speed| speed.runs);
+            (route.to_string(), json!({ "expected_percent": percent(ratio.expected), "runs": runs }))
+        });
+        Value::Object(speeds.collect())
+    }
+
     /// Runs the periodic checks of sessions, workers and jobs.
     fn run_maintenance(&mut self) {
         self.close_silent_sessions();
+        self.worker_registry.update_speeds(self.now, |route| self.route_times.ratio(route));
         self.record_slow_workers();
         self.record_delayed_reports();
         self.expire_agents();
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -73,6 +73,7 @@
         if let Some(problem) = job.validation_error() {
             return self.reply(reply, CallerAnswer::Malformed(problem.into()));
         }
+        self.worker_registry.add_route(&route.name, |route| self.route_times.ratio(route));
         let times = self.job_times(&job, route, caller_timeout);
         let delay = self.start_delay(&times, route);
         let is_open = self.job_table.get(&id).is_some();
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
-use vanillacleat_core::caller_job::{CallerJob, CallerJobId, ResourceAmount, RunId, TaskId};
+use vanillacleat_core::caller_job::{CallerJob, CallerJobId, JobStep, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
 use vanillacleat_core::run_frames::{OrderId, RunStart};
 use vanillacleat_core::site_plan::RouteRule;
@@ -13,13 +13,20 @@
 use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
 use crate::entry::open_job::{FormerRun, OpenJob};
 use crate::entry::worker_registry::CapacityRequest;
+use crate::entry::worker_speeds::TaskTiming;
 
 impl DispatchControl {
-    /// Returns the times that decide a job's rank. The time until the answer is due is the expected run time of the
-    /// job's critical path, multiplied by the route's slack factor, plus the route's target latency.
+    /// Returns the times that decide a job's rank. The time until the answer is due is the run time of the job's critical
+    /// path on a typical worker, multiplied by the route's slack factor, plus the route's target latency. The job is
+    /// expected to run on quick workers, where it has the best prospect to meet it.
     pub(super) fn job_times(&self, job: &CallerJob, route: &RouteRule, caller_timeout: Option<Duration>) -> JobTimes {
-        let expected = self.critical_path_duration(job, route);
-        let latency_target = expected * route.slack_percent / 100 + route.target_latency.to_duration();
+        let index = self.worker_registry.speed_table().index(&route.name);
+        let ratios =
+            index.map(|index| (self.worker_registry.speed_table().typical(index), self.worker_registry.speed_table().quick(index)));
+        let (typical, quick) = ratios.unwrap_or((1.0, 1.0));
+        let estimate = critical_path_estimate(job);
+        let expected = estimate.mul_f64(quick);
+        let latency_target = estimate.mul_f64(typical) * route.slack_percent / 100 + route.target_latency.to_duration();
         let timeout = route.timeout.to_duration();
         // The route's timeout limits only the wait for the start. A caller that sets no timeout of its own is therefore
         // assumed to wait longer, by the time within which the answer is due.
@@ -29,16 +36,6 @@
         JobTimes { submitted_at, target_at: submitted_at + latency_target, abandon_at: self.now + caller_timeout, expected }
     }
 
-    /// Returns the expected run time of a job's critical path, the longest chain of steps that depend on each other.
-    pub(super) fn critical_path_duration(&self, job: &CallerJob, route: &RouteRule) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(job.steps.len());
-        for step in &job.steps {
-            let begin = step.after.iter().map(|earlier| ends[usize::from(*earlier)]).max().unwrap_or_default();
-            ends.push(begin + self.route_times.expected_run_time(&route.name, step.estimate.to_duration()));
-        }
-        ends.into_iter().max().unwrap_or_default()
-    }
-
     /// Sends waiting tasks to workers with free capacity, in the order of their jobs' ranks. An entry that is behind sends
     /// none: it could not follow their runs. Neither does one that has resumed and does not know yet which callers still wait.
     pub(super) fn place_ready_tasks(&mut self) {
@@ -72,23 +69,34 @@
                 preferred_rack: step.preferred_rack.as_ref(),
                 excluded: &excluded,
                 is_late,
+                timing: self.task_timing(job, step),
             };
             let last = job.last_agent.as_ref();
             let chosen = self.worker_registry.choose_worker(self.now, &self.options.zone, &self.plan.zones_out, &request, last);
             let Some(agent) = chosen.cloned() else {
                 return;
             };
-            self.send_start(&task, &agent, step.demand, &payload);
+            self.send_start(&task, &agent, step, &payload);
         }
     }
 
-    fn send_start(&mut self, task: &TaskId, agent: &AgentId, demand: ResourceAmount, payload: &SmolStr) {
+    /// Returns the time that a task of a step has: until its job's target, less what has to follow it at least.
+    fn task_timing(&self, job: &OpenJob, step: &JobStep) -> Option<TaskTiming> {
+        let speed_table = self.worker_registry.speed_table();
+        let route = speed_table.index(&job.route.name)?;
+        let estimate = step.estimate.to_duration();
+        let others = job.times.expected.saturating_sub(estimate.mul_f64(speed_table.quick(route)));
+        Some(TaskTiming { route, estimate, due_at: job.times.target_at.before(others) })
+    }
+
+    fn send_start(&mut self, task: &TaskId, agent: &AgentId, step: &JobStep, payload: &SmolStr) {
         let Some(session) = self.worker_registry.get(agent).and_then(|worker| worker.session) else {
             return;
         };
-        let Some((arrived_at, priority, is_first)) = self.job_table.get(&task.job).map(|job| {
+        let (demand, estimate) = (step.demand, step.estimate);
+        let Some((arrived_at, route, is_first)) = self.job_table.get(&task.job).map(|job| {
             let is_first = !job.has_run && !job.has_sent_runs();
-            (job.arrived_at, job.route.priority, is_first)
+            (job.arrived_at, job.route.clone(), is_first)
         }) else {
             return;
         };
@@ -98,7 +106,7 @@
         };
         self.last_order = order.number;
         if is_first {
-            let measurement = Measurement::Placed { priority, after: self.now.since(arrived_at) };
+            let measurement = Measurement::Placed { priority: route.priority, after: self.now.since(arrived_at) };
             self.actions.push(DispatchAction::Measured(measurement));
         }
         let is_idle = self.worker_registry.get(agent).is_some_and(|worker| worker.runs == 0);
@@ -108,7 +116,11 @@
             orders.payloads.push(payload.clone());
         }
         let index = orders.payloads.len() - 1;
-        orders.starts.push(RunStart { run, order, demand, payload: index as u16 });
+        if orders.routes.last() != Some(&route.name) {
+            orders.routes.push(route.name.clone());
+        }
+        let route = (orders.routes.len() - 1) as u16;
+        orders.starts.push(RunStart { run, order, demand, payload: index as u16, route, estimate });
         self.log_start(&run, agent, session, is_idle);
     }
 
@@ -163,6 +175,16 @@
     /// it. Returns `None` if there is such work and the service has no healthy worker and no run of this entry.
     pub(super) fn start_delay(&self, times: &JobTimes, route: &RouteRule) -> Option<Duration> {
         let queued = self.job_table.work_ahead(self.now, times.rank(self.now, route.priority));
-        queue_wait(queued, self.worker_registry.expected_cores(&route.service, &self.plan.zones_out))
+        queue_wait(queued, self.worker_registry.expected_cores(self.now, &route.service, &self.plan.zones_out, &route.name))
+    }
+}
+
+/// Returns the estimated run time of a job's critical path, the longest chain of steps that depend on each other.
+fn critical_path_estimate(job: &CallerJob) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(job.steps.len());
+    for step in &job.steps {
+        let begin = step.after.iter().map(|earlier| ends[usize::from(*earlier)]).max().unwrap_or_default();
+        ends.push(begin + step.estimate.to_duration());
     }
+    ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -11,6 +11,7 @@
 use vanillacleat_core::units::Millis;
 
 use super::{DispatchAction, DispatchControl};
+use crate::entry::worker_capacity::WorkerCapacity;
 use crate::entry::worker_registry::HelloOutcome;
 use crate::log_fields::{format_age, format_list};
 
@@ -58,6 +59,10 @@
             self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Entries(self.entries.clone()) });
         }
         self.send_zones(session);
+        let known = self.worker_registry.get(&hello.agent).map(WorkerCapacity::known_speeds);
+        if let Some(known) = known.filter(|known| is_restarted && !known.routes.is_empty()) {
+            self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Speeds(known) });
+        }
         if hello.plan_version > self.plan.version().0 {
             self.actions.push(DispatchAction::Send { session, frame: OrderFrame::PlanRequest });
         }
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod worker_capacity;
 mod worker_performance;
 mod worker_registry;
+mod worker_speeds;
 
 pub use caller_api::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
 pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, Measurement};
@@ -27,3 +28,4 @@
 pub use worker_capacity::WorkerCapacity;
 pub use worker_performance::WorkerPerformance;
 pub use worker_registry::{CapacityRequest, HelloOutcome, WorkerRegistry};
+pub use worker_speeds::{RouteIndex, SpeedTable, TaskTiming, TimeFit, WorkerRatio};
--- a/crates/runs/src/entry/straggler_rule.rs
+++ b/crates/runs/src/entry/straggler_rule.rs
@@ -39,6 +39,12 @@
         Self { total, remaining: total.saturating_sub(elapsed) }
     }
 
+    /// Returns whether the run ends more than [`RESTART_MARGIN`] after a worker that leaves in `left` has left. Such a run has to start
+    /// again elsewhere in any case, and sooner if it is stopped now.
+    pub fn ends_after(&self, left: Duration) -> bool {
+        self.remaining > left + RESTART_MARGIN
+    }
+
     /// Returns whether a healthy worker would end the run sooner, by more than `RESTART_MARGIN`, if it started the run
     /// from the beginning. `slowness` is the slowness of the worker that runs it now.
     pub fn should_relocate(&self, slowness: f64) -> bool {
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -1,19 +1,29 @@
 //! The capacity of one worker as its agent reports it to an entry.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::ids::{AgentId, Incarnation, ProcessStart, ZoneName};
-use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
+use vanillacleat_core::run_frames::{KnownSpeeds, RouteSpeed, RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::worker_performance::WorkerPerformance;
+use super::worker_speeds::WorkerRatio;
+use crate::agent::is_plausible;
 use crate::RemoteClock;
 
 /// Time for which no task is placed on a worker after its agent rejected a start.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(30);
 
+/// Maximum time for which a worker is believed to be slow after its start.
+const COLD_MAX: Duration = Duration::from_secs(60);
+
+/// Maximum number of routes whose speeds are kept for one worker.
+const SPEEDS_MAX: usize = 32;
+
 /// Age of the last report up to which an agent without runs of this entry gets starts. Such agents report once a second.
 const IDLE_REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
 
@@ -69,6 +79,16 @@
     pub is_expired: bool,
     /// The observed speed and failures.
     pub performance: WorkerPerformance,
+    /// The kind that the worker had in an earlier session, until it is reported again.
+    pub former_kind: Option<SmolStr>,
+    /// The worker's speeds by route, as its agent learned them.
+    pub speeds: BTreeMap<SmolStr, RouteSpeed>,
+    /// The expected ratios of run time to estimate, by the routes' places in the speed table.
+    pub ratios: Vec<WorkerRatio>,
+    /// The time until which the worker is slow because it started recently.
+    pub cold_until: MonoTime,
+    /// When the worker leaves at the earliest. Absent unless it has given notice.
+    pub leaves_at: Option<MonoTime>,
     backoff_until: MonoTime,
 }
 
@@ -96,6 +116,11 @@
             lost_at: None,
             is_expired: false,
             performance: WorkerPerformance::default(),
+            former_kind: None,
+            speeds: BTreeMap::new(),
+            ratios: Vec::new(),
+            cold_until: MonoTime::ZERO,
+            leaves_at: None,
             backoff_until: MonoTime::ZERO,
         }
     }
@@ -120,11 +145,37 @@
         self.entries = report.entries.max(1);
         self.is_closed = report.is_closed;
         self.used_by_others = report.used.saturating_sub(&report.used_by_entry);
-        if report.worker.is_some() {
+        if let Some(info) = &report.worker {
+            self.cold_until = now + info.cold.to_duration().min(COLD_MAX);
+            self.leaves_at = info.leaves_in.map(|left| now + left.to_duration());
+            if self.kind() != info.kind() {
+                self.speeds.clear();
+            }
             self.info.clone_from(&report.worker);
         }
     }
 
+    /// Records speeds that the agent reports. Returns how many were refused because they can't be true.
+    pub(super) fn record_speeds(&mut self, speeds: &[RouteSpeed]) -> u64 {
+        let (plausible, refused): (Vec<_>, Vec<_>) = speeds.iter().take(SPEEDS_MAX).partition(|speed| is_plausible(speed));
+        for speed in plausible {
+            if self.speeds.len() < SPEEDS_MAX || self.speeds.contains_key(&speed.route) {
+                self.speeds.insert(speed.route.clone(), speed.clone());
+            }
+        }
+        (refused.len() + speeds.len().saturating_sub(SPEEDS_MAX)) as u64
+    }
+
+    /// Returns the worker's kind, if it is known.
+    pub fn kind(&self) -> Option<&SmolStr> {
+        self.info.as_ref().map_or(self.former_kind.as_ref(), WorkerInfo::kind)
+    }
+
+    /// Returns what this entry knows of the worker's speeds, to be told to its agent.
+    pub fn known_speeds(&self) -> KnownSpeeds {
+        KnownSpeeds { kind: self.kind().cloned(), routes: self.speeds.values().cloned().collect() }
+    }
+
     /// Records that a start is sent to the agent.
     pub(super) fn record_start(&mut self, now: MonoTime, demand: ResourceAmount) {
         if self.runs == 0 {
--- a/crates/runs/src/entry/worker_performance.rs
+++ b/crates/runs/src/entry/worker_performance.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use vanillacleat_core::caller_job::CallerJobId;
+use vanillacleat_core::caller_job::{CallerJobId, TaskId};
 use vanillacleat_core::units::MonoTime;
 
 /// Minimum number of jobs from which slowness is computed. The tasks of one job share the error of the job's run time
@@ -13,6 +13,14 @@
 const JOBS_MAX: usize = 6;
 /// Maximum age of a ratio that counts. A slow worker gets no tasks, so its ratios expire and it is tried again.
 const RATIO_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Number of slow runs from which a worker may count as slow. A few percent of all runs take several times as long anywhere.
+const SLOW_RUNS_MIN: usize = 6;
+/// Maximum number of slow runs of one job that count.
+const SLOW_RUNS_PER_JOB: usize = 2;
+/// Maximum number of runs of one job whose ratios are kept.
+const RUNS_PER_JOB_MAX: usize = 4;
+/// Maximum age of a job whose runs count as slow ones.
+const SLOW_RUN_AGE_MAX: Duration = Duration::from_secs(10);
 /// Weight of one failure or success in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.35;
 /// Share of failures at which a worker is excluded for a backoff time.
@@ -31,26 +39,35 @@
     excluded_until: MonoTime,
 }
 
-/// The latest ratio of one job's runs on the worker.
-#[derive(Clone, Copy, Debug)]
+/// The ratios of one job's runs on the worker.
+#[derive(Clone, Debug)]
 struct JobRatio {
     job: CallerJobId,
+    /// The latest ratio of any of the runs.
     ratio: f64,
     recorded_at: MonoTime,
+    /// The latest ratios of the runs, by task.
+    runs: Vec<(TaskId, f64)>,
 }
 
 impl WorkerPerformance {
     /// Records the ratio of a run that is done. Counts as a success.
-    pub fn record_end(&mut self, now: MonoTime, job: CallerJobId, ratio: f64) {
-        self.record_progress(now, job, ratio);
+    pub fn record_end(&mut self, now: MonoTime, task: TaskId, ratio: f64) {
+        self.record_progress(now, task, ratio);
         self.failure_share *= 1.0 - FAILURE_WEIGHT;
         self.backoffs = 0;
     }
 
     /// Records the ratio that a run in progress is expected to have at its end.
-    pub fn record_progress(&mut self, now: MonoTime, job: CallerJobId, ratio: f64) {
-        self.ratios.retain(|other| other.job != job);
-        self.ratios.push_back(JobRatio { job, ratio, recorded_at: now });
+    pub fn record_progress(&mut self, now: MonoTime, task: TaskId, ratio: f64) {
+        let former = self.ratios.iter().position(|other| other.job == task.job).and_then(|index| self.ratios.remove(index));
+        let mut runs = former.map(|former| former.runs).unwrap_or_default();
+        match runs.iter().position(|(other, _)| *other == task) {
+            Some(index) => runs[index].1 = ratio,
+            None if runs.len() < RUNS_PER_JOB_MAX => runs.push((task, ratio)),
+            None => {}
+        }
+        self.ratios.push_back(JobRatio { job: task.job, ratio, recorded_at: now, runs });
         if self.ratios.len() > JOBS_MAX {
             self.ratios.pop_front();
         }
@@ -76,6 +93,14 @@
         (fresh.len() >= JOBS_MIN).then(|| fresh[(fresh.len() - 1) / 2])
     }
 
+    /// Returns whether enough runs were slow, which means that their ratios reached `threshold`. A job of which another run on the
+    /// worker was not slow shows that the worker is not the cause.
+    pub fn has_slow_runs(&self, now: MonoTime, threshold: f64) -> bool {
+        let recent = self.ratios.iter().filter(|job| now.since(job.recorded_at) < SLOW_RUN_AGE_MAX);
+        let slow = recent.filter(|job| job.runs.iter().all(|(_, ratio)| *ratio >= threshold));
+        slow.map(|job| job.runs.len().min(SLOW_RUNS_PER_JOB)).sum::<usize>() >= SLOW_RUNS_MIN
+    }
+
     /// Returns whether the worker is excluded because of failures.
     pub fn is_failing(&self, now: MonoTime) -> bool {
         now < self.excluded_until
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -14,11 +14,15 @@
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_performance::WorkerPerformance;
+use super::worker_speeds::{SpeedTable, TaskTiming, WorkerRatio};
 use crate::LeaseTerms;
 
 /// Number of agents per zone that keep a copy of the routes for entries that can't reach the platform's store.
 const ROUTE_COPIES_PER_ZONE: usize = 2;
 
+/// Minimum interval between two computations of the workers' expected speeds.
+const SPEEDS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The requirements of a task that needs a worker.
 #[derive(Clone, Copy, Debug)]
 pub struct CapacityRequest<'a> {
@@ -34,6 +38,8 @@
     pub excluded: &'a [AgentId],
     /// Whether the task's job can no longer end by its target time. Such a task gets no worker that is nearly full.
     pub is_late: bool,
+    /// The time that the task has. Absent if its run time is unknown.
+    pub timing: Option<TaskTiming>,
 }
 
 /// What a hello showed.
@@ -53,6 +59,12 @@
     workers: BTreeMap<AgentId, WorkerCapacity>,
     by_session: BTreeMap<SessionId, AgentId>,
     report_age_max: Duration,
+    speed_table: SpeedTable,
+    /// Whether agents have reported workers or speeds since the speed table was computed.
+    are_speeds_new: bool,
+    /// When the speed table was computed.
+    speeds_updated_at: MonoTime,
+    refused_speeds: u64,
 }
 
 impl Default for WorkerRegistry {
@@ -65,7 +77,15 @@
     /// Returns a registry without workers. An agent whose last report is older than `report_age_max` gets no starts.
     /// This is the length of the session's lease: agents reject starts once the lease has ended.
     pub fn new(report_age_max: Duration) -> Self {
-        Self { workers: BTreeMap::new(), by_session: BTreeMap::new(), report_age_max }
+        Self {
+            workers: BTreeMap::new(),
+            by_session: BTreeMap::new(),
+            report_age_max,
+            speed_table: SpeedTable::default(),
+            are_speeds_new: false,
+            speeds_updated_at: MonoTime::ZERO,
+            refused_speeds: 0,
+        }
     }
 
     /// Records an agent's hello on a new session, unless it is that of an earlier session than the agent's last one.
@@ -82,6 +102,9 @@
             worker.runs = previous.runs;
             worker.is_slow = previous.is_slow;
             worker.performance = previous.performance.clone();
+            worker.former_kind = previous.kind().or(previous.former_kind.as_ref()).cloned();
+            worker.speeds.clone_from(&previous.speeds);
+            worker.ratios.clone_from(&previous.ratios);
         }
         self.by_session.insert(session, hello.agent.clone());
         self.workers.insert(hello.agent.clone(), worker);
@@ -97,6 +120,8 @@
         let agent = self.by_session.get(&session)?;
         let worker = self.workers.get_mut(agent).filter(|worker| worker.session == Some(session))?;
         worker.record_report(now, report);
+        self.refused_speeds += worker.record_speeds(&report.speeds);
+        self.are_speeds_new |= report.worker.is_some() || !report.speeds.is_empty();
         Some(agent.clone())
     }
 
@@ -141,7 +166,7 @@
         let threshold = slowness_threshold(slownesses.iter().copied());
         let mut slow = Vec::new();
         for (worker, slowness) in self.workers.values_mut().zip(slownesses) {
-            worker.is_slow = slowness.is_some_and(|slowness| slowness >= threshold);
+            worker.is_slow = slowness.is_some_and(|slowness| slowness >= threshold) && worker.performance.has_slow_runs(now, threshold);
             if worker.is_slow {
                 slow.push(worker.agent.clone());
             }
@@ -149,6 +174,42 @@
         slow
     }
 
+    /// Adds a route of which tasks are to be placed, whose run times were `observed` by this entry.
+    pub fn add_route(&mut self, route: &SmolStr, observed: impl Fn(&SmolStr) -> f64) {
+        if self.speed_table.add(route, observed(route)) {
+            self.speed_table.update(&mut self.workers, observed);
+        }
+    }
+
+    /// Computes the workers' expected speeds from what was reported since the last time.
+    pub fn update_speeds(&mut self, now: MonoTime, observed: impl Fn(&SmolStr) -> f64) {
+        if self.are_speeds_new && now.since(self.speeds_updated_at) >= SPEEDS_INTERVAL {
+            self.speed_table.update(&mut self.workers, observed);
+            (self.are_speeds_new, self.speeds_updated_at) = (false, now);
+        }
+        self.speed_table.update_scarcity(&self.workers);
+    }
+
+    /// Returns the expected speeds by route.
+    pub fn speed_table(&self) -> &SpeedTable {
+        &self.speed_table
+    }
+
+    /// Returns the ratio of run time to estimate that is expected of an agent's worker on a route.
+    pub fn worker_ratio(&self, now: MonoTime, agent: &AgentId, route: &SmolStr) -> Option<WorkerRatio> {
+        Some(self.speed_table.ratio(now, self.speed_table.index(route)?, self.workers.get(agent)?))
+    }
+
+    /// Records the ratio of a run on a worker that is still cold to what is expected of the worker otherwise.
+    pub fn record_cold_ratio(&mut self, ratio: f64) {
+        self.speed_table.record_cold(ratio);
+    }
+
+    /// Returns the number of reported speeds that were refused because they can't be true.
+    pub fn refused_speeds(&self) -> u64 {
+        self.refused_speeds
+    }
+
     /// Returns the state of an agent's worker.
     pub fn get(&self, agent: &AgentId) -> Option<&WorkerCapacity> {
         self.workers.get(agent)
@@ -218,13 +279,16 @@
     /// this order:
     ///
     /// 1. Workers in the preferred rack, if the task has one.
-    /// 2. Workers of this entry's zone, and workers of other zones on which the task fits without the part that is left
+    /// 2. Workers on which the task ends in time.
+    /// 3. Workers of this entry's zone, and workers of other zones on which the task fits without the part that is left
     ///    to the entries of their own zone. That part is used only if there is no other free capacity.
-    /// 3. The worker that the last task of the same job went to. A job that uses few workers is affected by few
+    /// 4. Fast workers, or slow ones if the task has time and little is left of the fast ones. Among workers that are about
+    ///    equally fast, what follows decides.
+    /// 5. The worker that the last task of the same job went to. A job that uses few workers is affected by few
     ///    unhealthy ones.
-    /// 4. Workers of this entry's zone. Entries don't see each other's starts. With this preference, entries of
+    /// 6. Workers of this entry's zone. Entries don't see each other's starts. With this preference, entries of
     ///    different zones choose different workers.
-    /// 5. The worker with the most free processor capacity.
+    /// 7. The worker with the most free processor capacity.
     pub fn choose_worker(
         &self,
         now: MonoTime,
@@ -240,7 +304,9 @@
             let is_far = request.preferred_rack.is_some_and(|rack| !has_label(worker, rack));
             let is_contended = worker.zone != *zone && !request.demand.fits(&worker.capacity_for_other_zones());
             let millicores = worker.free_capacity().millicores;
-            (is_far, is_contended, last_agent != Some(&worker.agent), worker.zone != *zone, u64::MAX - millicores)
+            let fit = request.timing.as_ref().map(|timing| self.speed_table.fit(now, timing, worker)).unwrap_or_default();
+            let is_other = last_agent != Some(&worker.agent);
+            (is_far, fit.lateness, is_contended, fit.preference, is_other, worker.zone != *zone, u64::MAX - millicores)
         });
         best.map(|worker| &worker.agent)
     }
@@ -256,14 +322,17 @@
     }
 
     /// Returns the number of cores that this entry can expect to use on the workers of a service: its share of each worker that
-    /// is connected, ready, not slow and outside `zones_out`.
-    pub fn expected_cores(&self, service: &ServiceName, zones_out: &BTreeSet<ZoneName>) -> f64 {
+    /// is connected, ready, not slow and outside `zones_out`. A core of a worker that takes longer for a route's tasks than a
+    /// quick one counts for accordingly less.
+    pub fn expected_cores(&self, now: MonoTime, service: &ServiceName, zones_out: &BTreeSet<ZoneName>, route: &SmolStr) -> f64 {
+        let index = self.speed_table.index(route);
         let healthy =
             self.workers.values().filter(|worker| !worker.is_slow && !zones_out.contains(&worker.zone) && worker.session.is_some());
         let serving = healthy.filter_map(|worker| {
             let info = worker.info.as_ref().filter(|info| info.service == *service && info.is_ready)?;
             let (cores, reserved) = (info.capacity.millicores as f64 / 1_000.0, worker.reserved.millicores as f64 / 1_000.0);
-            Some(core_share(cores, worker.entries as usize, reserved))
+            let speed = index.map_or(1.0, |index| self.speed_table.quick(index) / self.speed_table.ratio(now, index, worker).expected);
+            Some(core_share(cores, worker.entries as usize, reserved) * speed)
         });
         serving.sum()
     }
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod entry;
 mod lease_terms;
 mod log_fields;
+mod ratio_sketch;
 mod remote_clock;
 
 pub use lease_terms::LeaseTerms;
+pub use ratio_sketch::RatioSketch;
 pub use remote_clock::RemoteClock;
--- a/crates/runs/tests/late_jobs.rs
+++ b/crates/runs/tests/late_jobs.rs
@@ -82,6 +82,7 @@
                 labels: Vec::new(),
                 is_ready: true,
                 cold: Millis(0),
+                leaves_in: None,
             };
             let report = RunReport { sent_at: Millis(now), used, worker: Some(info), ..RunReport::default() };
             self.registry.record_report(MonoTime::from_millis(now), SessionId(worker as u64), &report);
@@ -113,6 +114,7 @@
                     preferred_rack: None,
                     excluded: &[],
                     is_late,
+                    timing: None,
                 };
                 let Some(chosen) = self.registry.choose_worker(at, &self.zone, &BTreeSet::new(), &request, None).cloned() else {
                     break;
--- a/crates/runs/tests/placement.rs
+++ b/crates/runs/tests/placement.rs
@@ -54,6 +54,7 @@
             labels: vec![SmolStr::new(format!("r-{number}"))],
             is_ready: true,
             cold: Millis(0),
+            leaves_in: None,
         };
         let report = RunReport { sent_at: Millis(1), needs_answer: true, worker: Some(worker), ..RunReport::default() };
         self.deliver(DispatchEvent::Frame { session, frame: RunFrame::Hello(hello) });
--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -174,6 +174,7 @@
             labels: Vec::new(),
             is_ready: true,
             cold: Millis(0),
+            leaves_in: None,
         };
         for entry in 0..ENTRIES {
             let (used, used_by_entry) = (self.used_capacity(worker, None), self.used_capacity(worker, Some(entry)));
@@ -215,6 +216,7 @@
                 preferred_rack: None,
                 excluded: &[],
                 is_late: false,
+                timing: None,
             };
             let at = MonoTime::from_millis(now);
             let Some(chosen) = policy(&self.registries[entry], at, &zone(entry % ZONES), &request, last.as_ref(), rng) else {
--- a/crates/runs/tests/strained_entry.rs
+++ b/crates/runs/tests/strained_entry.rs
@@ -150,6 +150,7 @@
             labels: Vec::new(),
             is_ready: true,
             cold: Millis(0),
+            leaves_in: None,
         };
         self.agents[agent].inbox.push_back((1, RunnerEvent::WorkerHeartbeat(notice)));
     }
--- a/crates/runs/tests/support/simulation/worker_calls.rs
+++ b/crates/runs/tests/support/simulation/worker_calls.rs
@@ -16,6 +16,7 @@
             labels: Vec::new(),
             is_ready: !self.is_draining[worker],
             cold: Millis(0),
+            leaves_in: None,
         };
         self.deliver_to_agent(worker, self.agents[worker].incarnation, RunnerEvent::WorkerHeartbeat(notice));
         self.schedule(HEARTBEAT_INTERVAL, SimulationEvent::SendHeartbeat(worker));
