--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -9,3 +9,4 @@
 pub mod plans;
 pub mod simulation;
 pub mod site_bench;
+pub mod uneven_site;
