--- a/crates/runs/src/entry/worker_speeds.rs
+++ b/crates/runs/src/entry/worker_speeds.rs
@@ -132,8 +132,13 @@
     /// no agent has reported.
     pub fn update(&mut self, workers: &mut BTreeMap<AgentId, WorkerCapacity>, observed: impl Fn(&SmolStr) -> f64) {
         workers.values_mut().for_each(|worker| worker.ratios.clear());
-        for (route, basis) in self.routes.iter().zip(&mut self.bases) {
-            *basis = update_route(route, workers, observed(route));
+        let mut by_route: Vec<KindRatios> = self.routes.iter().map(|route| kind_ratios(route, workers)).collect();
+        // The route of which most kinds are known shows how quick they are relative to each other.
+        if let Some(best) = by_route.iter().max_by_key(|ratios| ratios.len()).cloned() {
+            by_route.iter_mut().for_each(|ratios| infer_kinds(ratios, &best));
+        }
+        for ((route, basis), kinds) in self.routes.iter().zip(&mut self.bases).zip(by_route) {
+            *basis = update_route(route, workers, &kinds, observed(route));
         }
     }
 
@@ -213,18 +218,34 @@
     }
 }
 
-/// Computes the ratios of one route, and appends that of each worker to its list.
-fn update_route(route: &SmolStr, workers: &mut BTreeMap<AgentId, WorkerCapacity>, observed: f64) -> RouteBasis {
+/// The median ratio of a route's runs on the workers of each kind.
+type KindRatios = BTreeMap<Option<SmolStr>, f64>;
+
+/// Returns the ratios of the kinds whose agents have reported a route.
+fn kind_ratios(route: &SmolStr, workers: &BTreeMap<AgentId, WorkerCapacity>) -> KindRatios {
     let mut by_kind: BTreeMap<Option<SmolStr>, Vec<f64>> = BTreeMap::new();
-    let mut spreads = Vec::new();
     for worker in workers.values() {
         if let Some(speed) = worker.speeds.get(route) {
             by_kind.entry(worker.kind().cloned()).or_default().push(typical_ratio(speed));
-            spreads.push(f64::from(speed.high_percent) / f64::from(speed.typical_percent));
         }
     }
-    let kinds: BTreeMap<Option<SmolStr>, f64> =
-        by_kind.into_iter().filter_map(|(kind, mut ratios)| Some((kind, median(&mut ratios)?))).collect();
+    by_kind.into_iter().filter_map(|(kind, mut ratios)| Some((kind, median(&mut ratios)?))).collect()
+}
+
+/// Adds the ratios of kinds that are unknown on one route. They are assumed to compare with the others as on the `best` known route.
+fn infer_kinds(ratios: &mut KindRatios, best: &KindRatios) {
+    let mut scales: Vec<f64> = ratios.iter().filter_map(|(kind, ratio)| Some(ratio / best.get(kind)?)).collect();
+    if let Some(scale) = median(&mut scales) {
+        let unknown = best.iter().filter(|(kind, _)| !ratios.contains_key(*kind));
+        let inferred: Vec<_> = unknown.map(|(kind, ratio)| (kind.clone(), ratio * scale)).collect();
+        ratios.extend(inferred);
+    }
+}
+
+/// Computes the ratios of one route, and appends that of each worker to its list.
+fn update_route(route: &SmolStr, workers: &mut BTreeMap<AgentId, WorkerCapacity>, kinds: &KindRatios, observed: f64) -> RouteBasis {
+    let speeds = workers.values().filter_map(|worker| worker.speeds.get(route));
+    let mut spreads: Vec<f64> = speeds.map(|speed| f64::from(speed.high_percent) / f64::from(speed.typical_percent)).collect();
     let known: Vec<f64> = workers.values().filter_map(|worker| kinds.get(&worker.kind().cloned()).copied()).collect();
     if known.is_empty() {
         let even = RouteBasis::even(observed);
