--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -10,3 +10,4 @@
 pub mod shared_host;
 pub mod simulation;
 pub mod site_bench;
+pub mod uneven_site;
