Links between entries, and one home for a job that is submitted again to another entry

Ruled out: a record in the store (a write for each job, and it has outages), a replicated table, an owner by hash of the id (every job would cost a hop).

Change: entries link to each other over the mesh port, on a request path of its own. A resubmission asks the peers before any task is placed. First submissions send nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod job;
 pub mod outcome;
+pub mod peer_frames;
 pub mod run_frames;
 pub mod settings;
 pub mod site_plan;
--- a/crates/entry/src/mesh_server.rs
+++ b/crates/entry/src/mesh_server.rs
@@ -22,6 +22,7 @@
 fn serve_stream(stream: IncomingStream, events: Events) {
     match stream {
         IncomingStream::Session(session) => drop(tokio::spawn(serve_session(session, events))),
+        IncomingStream::PeerSession(_) => log::warn!("event=peer_session_ignored port=mesh"),
         IncomingStream::Call(call) => drop(tokio::spawn(serve_call(call, events))),
     }
 }
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -2,14 +2,15 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
+use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::ReplyId;
-use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::ids::{Incarnation, ProcessStart};
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_daemon::{
@@ -19,6 +20,7 @@
 use vanillacleat_wire::{run_session, serve_listener, session_queue, IncomingStream, SessionStream};
 
 use crate::entry_loop::{make_frame_event, EntryInput, EntryLoop, EntryStatus};
+use crate::peer_sessions::serve_peer;
 use crate::run_settings::RunsEntrySettings;
 
 /// Number of threads of the I/O runtime. The hosts provide only a share of one core.
@@ -147,6 +149,8 @@
     let drain_timeout = settings.leases.drain_timeout();
     DispatchOptions {
         incarnation: Incarnation(rand::random()),
+        process_start: ProcessStart(SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |at| at.as_millis() as u64)),
+        address: settings.mesh_listen.to_smolstr(),
         zone: settings.zone.clone(),
         lease_terms: settings.leases.lease_terms(),
         resubmit_after: settings.leases.resubmit_ms.to_duration(),
@@ -158,6 +162,7 @@
 fn serve_stream(stream: IncomingStream, events: EventSender<EntryInput>) {
     match stream {
         IncomingStream::Session(session) => drop(tokio::spawn(serve_session(session, events))),
+        IncomingStream::PeerSession(session) => drop(tokio::spawn(serve_peer(session, move |input| events.send(input)))),
         IncomingStream::Call(_) => log::warn!("event=call_ignored port=mesh"),
     }
 }
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -8,13 +8,17 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::peer_frames::PeerFrame;
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventBatch, EventSink};
-use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, Measurement};
+use vanillacleat_runs::entry::{
+    CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, Measurement, PeerAction, PeerEvent,
+};
 use vanillacleat_wire::SessionQueue;
 
 use crate::caller_confirmation::confirm_callers;
+use crate::peer_sessions::{dial_peer, PeerQueues};
 
 /// Input of the control thread.
 #[derive(Debug)]
@@ -25,6 +29,8 @@
     Request(ReplyId, CallerRequest, oneshot::Sender<CallerAnswer>),
     /// Adds the outgoing queue of a session that an agent opened, and returns the session's id through the channel.
     RegisterSession(SessionQueue<OrderFrame>, oneshot::Sender<SessionId>),
+    /// Adds the outgoing queue of a link to another entry, and returns the link's session through the channel.
+    RegisterPeer(SessionQueue<PeerFrame>, oneshot::Sender<SessionId>),
     /// Requests a dump of the control state.
     Dump(oneshot::Sender<serde_json::Value>),
     /// Stops the control thread, because the daemon was dropped.
@@ -44,6 +50,7 @@
     status: Arc<EntryStatus>,
     answer_senders: HashMap<ReplyId, oneshot::Sender<CallerAnswer>>,
     session_queues: HashMap<SessionId, SessionQueue<OrderFrame>>,
+    peer_queues: PeerQueues,
     next_session: u64,
     runtime_handle: Handle,
     event_sink: EventSink<EntryInput>,
@@ -61,6 +68,7 @@
             status,
             answer_senders: HashMap::new(),
             session_queues: HashMap::new(),
+            peer_queues: PeerQueues::default(),
             next_session: 0,
             runtime_handle,
             event_sink: EventSink::default(),
@@ -88,6 +96,10 @@
                     events.push(DispatchEvent::Requested { reply, request });
                 }
                 EntryInput::RegisterSession(queue, session_sender) => self.register_session(queue, session_sender),
+                EntryInput::RegisterPeer(queue, session_sender) => {
+                    self.next_session += 1;
+                    self.peer_queues.add(SessionId(self.next_session), queue, session_sender);
+                }
                 // The send fails if the requester has disconnected.
                 EntryInput::Dump(state_sender) => drop(state_sender.send(self.control.dump())),
                 EntryInput::Stop => return ControlStep::Stop,
@@ -96,6 +108,7 @@
         for event in &events {
             match event {
                 DispatchEvent::SessionClosed(session) => drop(self.session_queues.remove(session)),
+                DispatchEvent::Peer(PeerEvent::Closed(session)) => self.peer_queues.remove(*session),
                 DispatchEvent::CallerDisconnected(reply) => drop(self.answer_senders.remove(reply)),
                 _ => {}
             }
@@ -134,6 +147,11 @@
                 }
             }
             DispatchAction::Close(session) => drop(self.session_queues.remove(&session)),
+            DispatchAction::Peer(PeerAction::Dial(address)) => {
+                self.runtime_handle.spawn(dial_peer(address, self.event_sink.clone()));
+            }
+            DispatchAction::Peer(PeerAction::Send { session, frame }) => self.peer_queues.send(session, frame),
+            DispatchAction::Peer(PeerAction::Close(session)) => self.peer_queues.remove(session),
             DispatchAction::ConfirmCallers(number) => {
                 let event_sink = self.event_sink.clone();
                 self.runtime_handle.spawn(async move {
@@ -150,6 +168,7 @@
     fn publish_status(&self) {
         self.sessions.set(self.session_queues.len() as f64);
         self.outdated_hellos.absolute(self.control.outdated_hellos());
+        self.peer_queues.publish(&self.control);
         self.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
         self.status.is_ready.store(self.control.is_ready(), Ordering::Relaxed);
         self.status.is_draining.store(self.control.is_draining(), Ordering::Relaxed);
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -1,6 +1,8 @@
 //! The control state of an entry: event handling, periodic maintenance, draining and the dump for operators.
 
 mod answering;
+mod homes;
+mod peers;
 mod performance;
 mod placing;
 mod sessions;
@@ -9,20 +11,26 @@
 use std::time::Duration;
 
 use serde_json::{json, Value};
+use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::ids::{AgentId, Incarnation, ZoneName};
+use vanillacleat_core::ids::{AgentId, Incarnation, ProcessStart, ZoneName};
+use vanillacleat_core::peer_frames::PeerLoad;
 use vanillacleat_core::run_frames::{EndSign, EntryRecord, OrderFrame, RunFrame, RunOrders, RunOutcome};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_api::{CallerAnswer, CallerRequest};
 use super::entry_load::EntryLoad;
+use super::job_homes::JobHomes;
 use super::job_table::JobTable;
+use super::peer_registry::{PeerIdentity, PeerRegistry};
 use super::resume_barrier::ResumeBarrier;
 use super::run_times::RouteTimes;
 use super::worker_registry::WorkerRegistry;
 use crate::LeaseTerms;
 
+pub use peers::{PeerAction, PeerEvent};
+
 /// Interval of the maintenance of all jobs and workers.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(10);
 /// Gap between two events above which this process counts as having been stalled. Ticks normally arrive much more often.
@@ -39,6 +47,10 @@
 pub struct DispatchOptions {
     /// Identifies this run of the entry's process.
     pub incarnation: Incarnation,
+    /// The start of the entry's process.
+    pub process_start: ProcessStart,
+    /// Where the entry accepts sessions, as the platform's store lists it.
+    pub address: SmolStr,
     /// The entry's availability zone.
     pub zone: ZoneName,
     /// Durations of the leases.
@@ -74,6 +86,8 @@
     },
     /// An agent's session was closed or lost.
     SessionClosed(SessionId),
+    /// An event of a link to another entry.
+    Peer(PeerEvent),
     /// The plan was read from the platform.
     PlanRead(SitePlan),
     /// The list of all entries was read from the platform.
@@ -103,6 +117,8 @@
     },
     /// Closes a session.
     Close(SessionId),
+    /// An action on a link to another entry.
+    Peer(PeerAction),
     /// Asks for [`DispatchEvent::CallersConfirmed`] with this number, once every connection of a caller that has something to say
     /// was read.
     ConfirmCallers(u64),
@@ -157,6 +173,14 @@
     worker_registry: WorkerRegistry,
     route_times: RouteTimes,
     load: EntryLoad,
+    peer_registry: PeerRegistry,
+    job_homes: JobHomes,
+    peer_outbox: homes::PeerOutbox,
+    /// The own load, as peers receive it, and when it was computed.
+    own_load: PeerLoad,
+    load_computed_at: MonoTime,
+    /// Number of frames of peers that were refused.
+    refused_peer_frames: u64,
     /// Number of the last order to start a run.
     last_order: u64,
     /// Orders that the current event has produced, by session.
@@ -180,6 +204,12 @@
         let worker_registry = WorkerRegistry::new(options.lease_terms.session_lease);
         let load = EntryLoad::new(options.lease_terms.session_lease);
         let resume_barrier = ResumeBarrier::new(options.resubmit_after, options.lease_terms.agent_loss_timeout());
+        let peer_registry = PeerRegistry::new(PeerIdentity {
+            address: options.address.clone(),
+            incarnation: options.incarnation,
+            process_start: options.process_start,
+            zone: options.zone.clone(),
+        });
         Self {
             now: MonoTime::ZERO,
             resumed_at: MonoTime::ZERO,
@@ -192,6 +222,12 @@
             worker_registry,
             route_times: RouteTimes::default(),
             load,
+            peer_registry,
+            job_homes: JobHomes::default(),
+            peer_outbox: homes::PeerOutbox::default(),
+            own_load: PeerLoad::default(),
+            load_computed_at: MonoTime::ZERO,
+            refused_peer_frames: 0,
             last_order: 0,
             pending_orders: BTreeMap::new(),
             pending_echoes: BTreeMap::new(),
@@ -250,8 +286,10 @@
             kept.into_iter().for_each(|(reply, request)| self.handle_request(reply, request));
         }
         requests.into_iter().for_each(|event| self.handle_event(event));
+        self.update_homes(gap);
         self.place_ready_tasks();
         self.flush_orders();
+        self.flush_peer_frames();
         self.finish_drain();
         std::mem::take(&mut self.actions)
     }
@@ -273,6 +311,7 @@
             }
             DispatchEvent::Frame { session, frame } => self.handle_frame(session, frame),
             DispatchEvent::SessionClosed(session) => self.handle_lost_session(session, "broken"),
+            DispatchEvent::Peer(event) => self.handle_peer(event),
             DispatchEvent::PlanRead(plan) => self.handle_plan(&plan, "platform"),
             DispatchEvent::EntriesRead(entries) => self.handle_entries(entries),
             DispatchEvent::Drain => self.start_drain(),
@@ -374,6 +413,8 @@
             "is_strained": self.load.is_strained(),
             "awaits_callers": self.resume_barrier.is_raised(),
             "entries": self.entries.iter().map(|entry| &entry.address).collect::<Vec<_>>(),
+            "peers": self.dump_peers(),
+            "claims": self.dump_claims(),
             "workers": workers.collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(),
         })
@@ -386,6 +427,7 @@
         self.record_delayed_reports();
         self.expire_agents();
         self.expire_late_jobs();
+        self.maintain_peers();
         self.job_table.evict_final_phases(self.now);
         self.worker_registry.remove_lost(self.now, LOST_AGENT_AGE_MAX);
     }
@@ -406,12 +448,17 @@
         self.draining_since.is_some_and(|since| self.now.since(since) >= self.options.drain_delay)
     }
 
+    /// Returns whether a caller waits for a job that is open here or at another entry, or runs of a job are being stopped.
+    fn has_jobs(&self) -> bool {
+        self.job_table.jobs().next().is_some() || self.job_homes.has_claims()
+    }
+
     fn finish_drain(&mut self) {
         let Some(since) = self.draining_since else {
             return;
         };
         let waited = self.now.since(since);
-        let is_idle = self.refuses_new_jobs() && self.job_table.jobs().next().is_none() && !self.resume_barrier.has_requests();
+        let is_idle = self.refuses_new_jobs() && !self.has_jobs() && !self.resume_barrier.has_requests();
         let idle_since = *self.idle_since.get_or_insert(self.now);
         if !is_idle {
             self.idle_since = None;
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -10,7 +10,7 @@
 
 use super::{DispatchAction, DispatchControl, Measurement};
 use crate::entry::caller_api::{parse_target, CallerAnswer, CallerRequest, JobDraft, PathTarget, RequestKind};
-use crate::entry::job_order::resubmit_delay;
+use crate::entry::job_order::{resubmit_delay, JobTimes};
 use crate::entry::job_table::JobEffect;
 use crate::entry::open_job::OpenJob;
 use crate::log_fields::format_list;
@@ -53,6 +53,9 @@
             self.log(format!("event=job_repeated job={id} verdict={phase:?}"));
             return self.reply(reply, CallerAnswer::Ended(phase));
         }
+        if self.join_claim(reply, &id, caller_timeout) {
+            return;
+        }
         if self.refuses_new_jobs() && self.job_table.get(&id).is_none() {
             self.log(format!("event=job_refused job={id} reason=leaving"));
             return self.refuse(reply, "the entry is leaving", RETRY_AFTER_UNREADY);
@@ -74,6 +77,15 @@
             return self.reply(reply, CallerAnswer::Malformed(problem.into()));
         }
         let times = self.job_times(&job, route, caller_timeout);
+        if self.must_ask(&id, &times) {
+            return self.ask_peers(reply, Arc::new(job), route, times.abandon_at);
+        }
+        self.admit_job(reply, Arc::new(job), route, times);
+    }
+
+    /// Admits a job whose home is here, unless it can't start in time.
+    pub(super) fn admit_job(&mut self, reply: ReplyId, job: Arc<CallerJob>, route: &Arc<RouteRule>, times: JobTimes) {
+        let id = job.id;
         let delay = self.start_delay(&times, route);
         let is_open = self.job_table.get(&id).is_some();
         let delay_ms = delay.map_or_else(|| "unknown".to_owned(), |delay| delay.as_millis().to_string());
@@ -82,7 +94,7 @@
             self.log(format!("event=job_refused job={id} reason=load delay_ms={delay_ms}"));
             return self.refuse(reply, "there is no room in time", resubmit_delay(delay, id));
         }
-        let open_job = OpenJob::new(Arc::new(job), route.clone(), self.now, times);
+        let open_job = OpenJob::new(job, route.clone(), self.now, times);
         self.log(format!(
             "event=job_admitted job={id} route={} version={} tasks={} age_ms={} wanted_ms={} patience_ms={} delay_ms={delay_ms}",
             route.name,
@@ -97,6 +109,9 @@
 
     /// Removes a caller that disconnected before it was answered, and stops its job if no other caller waits for it.
     pub(super) fn handle_disconnected_caller(&mut self, reply: ReplyId) {
+        if self.withdraw_claimant(reply) {
+            return;
+        }
         let Some(id) = self.job_table.awaited_job(reply) else {
             return;
         };
@@ -137,11 +152,14 @@
         self.reply(reply, CallerAnswer::Cancelled);
     }
 
-    fn refuse(&mut self, reply: ReplyId, reason: &'static str, retry_after: Duration) {
+    pub(super) fn refuse(&mut self, reply: ReplyId, reason: &'static str, retry_after: Duration) {
         self.reply(reply, CallerAnswer::Refused { reason, retry_after });
     }
 
-    fn reply(&mut self, reply: ReplyId, answer: CallerAnswer) {
+    pub(super) fn reply(&mut self, reply: ReplyId, answer: CallerAnswer) {
+        if self.reply_remote(reply, &answer) {
+            return;
+        }
         self.actions.push(DispatchAction::Reply { reply, answer });
     }
 
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -47,7 +47,9 @@
             return;
         }
         for id in self.job_table.ready_jobs(self.now) {
-            self.place_job(&id);
+            if !self.job_homes.is_unconfirmed(&id) {
+                self.place_job(&id);
+            }
         }
     }
 
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -214,6 +214,7 @@
         }
         self.log(format!("event=entries_read entries={}", entries.len()));
         self.entries = entries;
+        self.peer_registry.set_entries(&self.entries);
         let sessions: Vec<SessionId> = self.worker_registry.workers().filter_map(|worker| worker.session).collect();
         for session in sessions {
             self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Entries(self.entries.clone()) });
--- /dev/null
+++ b/crates/runs/src/entry/job_homes.rs
@@ -0,0 +1,234 @@
+//! Which entry is the home of a resubmitted job.
+//!
+//! A caller whose connection broke on its own side resubmits its job to another entry while the first one still runs it. The second
+//! entry therefore asks its peers before it places a task. Until the answer is known, the job is a *claim*. A peer that holds the job
+//! keeps it and counts the asking entry as one more waiting caller, a *remote waiter*, under a lease.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use vanillacleat_control::{ReplyId, SessionId};
+use vanillacleat_core::caller_job::{CallerJob, CallerJobId};
+use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::site_plan::RouteRule;
+use vanillacleat_core::units::MonoTime;
+
+use super::peer_registry::{PeerRegistry, HOLDING_LEASE};
+
+/// Maximum number of claims. Jobs beyond it are not asked for.
+const CLAIMS_MAX: usize = 4_096;
+/// Maximum number of remote waiters. Peers that ask beyond it are told that the job is unknown.
+const REMOTE_WAITERS_MAX: usize = 4_096;
+/// Marks the reply ids of remote waiters. Those of callers are counted from zero.
+const REMOTE_MARK: u64 = 1 << 63;
+
+/// What a peer has answered to a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PeerAnswer {
+    /// Nothing yet.
+    Asked,
+    /// It doesn't hold the job.
+    Unknown,
+    /// It holds the job and will report its end.
+    Open,
+}
+
+/// A resubmitted job that may have its home at a peer.
+#[derive(Clone, Debug)]
+pub(super) struct JobClaim {
+    /// The job.
+    pub job: Arc<CallerJob>,
+    /// The route that the job was submitted to.
+    pub route: Arc<RouteRule>,
+    /// When the last of the callers stops waiting.
+    pub abandon_at: MonoTime,
+    /// When the peers were last asked.
+    pub asked_at: MonoTime,
+    /// When every run of a home that was lost has ended.
+    pub blocked_until: MonoTime,
+    /// The last home that was lost.
+    pub lost_home: Option<Incarnation>,
+    /// The callers and remote waiters.
+    pub waiters: Vec<ReplyId>,
+    /// What the peers that were asked have answered.
+    pub peers: BTreeMap<SessionId, PeerAnswer>,
+}
+
+/// What to do with a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClaimState {
+    /// Wait for answers, for the end of the job at its home, or for the end of a lost home's leases.
+    Wait,
+    /// No peer holds the job.
+    RunHere,
+    /// No caller waits any more.
+    TimedOut,
+}
+
+/// An entry that waits for a job that is held here, on behalf of its own callers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RemoteWaiter {
+    /// The link to the entry.
+    pub session: SessionId,
+    /// The job.
+    pub job: CallerJobId,
+    /// When the entry was told that the job is open here.
+    pub told_at: MonoTime,
+    /// The start of the waiter's lease: the latest own clock that the entry is known to have received.
+    pub leased_from: MonoTime,
+    /// Whether the entry is known to have received the answer and not to run the job itself. Until then no task is started.
+    pub is_confirmed: bool,
+}
+
+/// Holds the claims of this entry's callers and the remote waiters for its jobs.
+#[derive(Debug, Default)]
+pub(super) struct JobHomes {
+    claims: BTreeMap<CallerJobId, JobClaim>,
+    /// The claim that each of its waiters waits for.
+    claimants: BTreeMap<ReplyId, CallerJobId>,
+    remote_waiters: BTreeMap<ReplyId, RemoteWaiter>,
+    remote_replies: BTreeMap<(SessionId, CallerJobId), ReplyId>,
+    last_remote: u64,
+    /// Number of claims so far.
+    pub claim_count: u64,
+}
+
+impl JobClaim {
+    /// Returns what to do at `now`. Peers that were asked are waited for until `ask_timeout` has passed, and a home until `home_end`,
+    /// when its runs have ended if nothing more is received from it.
+    pub fn state(&self, now: MonoTime, ask_timeout: Duration, home_end: impl Fn(SessionId) -> MonoTime) -> ClaimState {
+        let is_asked = self.peers.values().any(|known| *known == PeerAnswer::Asked);
+        let is_asking = is_asked && now.since(self.asked_at) < ask_timeout;
+        let has_home = self.peers_with(PeerAnswer::Open).into_iter().any(|session| now < home_end(session));
+        if now >= self.abandon_at {
+            ClaimState::TimedOut
+        } else if has_home || now < self.blocked_until || is_asking {
+            ClaimState::Wait
+        } else {
+            ClaimState::RunHere
+        }
+    }
+
+    /// Returns the links to peers with this answer.
+    pub fn peers_with(&self, answer: PeerAnswer) -> Vec<SessionId> {
+        self.peers.iter().filter(|(_, known)| **known == answer).map(|(session, _)| *session).collect()
+    }
+}
+
+impl JobHomes {
+    /// Returns whether a further claim may be added.
+    pub fn has_room(&self) -> bool {
+        self.claims.len() < CLAIMS_MAX
+    }
+
+    /// Returns whether there is a claim.
+    pub fn has_claims(&self) -> bool {
+        !self.claims.is_empty()
+    }
+
+    /// Returns whether there is neither a claim nor a remote waiter.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty() && self.remote_waiters.is_empty()
+    }
+
+    /// Returns the claims.
+    pub fn claims(&self) -> impl Iterator<Item = (&CallerJobId, &JobClaim)> {
+        self.claims.iter()
+    }
+
+    /// Returns the claims for changes other than of their waiters.
+    pub fn claims_mut(&mut self) -> impl Iterator<Item = (&CallerJobId, &mut JobClaim)> {
+        self.claims.iter_mut()
+    }
+
+    /// Returns the claim for a job for changes other than of its waiters.
+    pub fn claim_mut(&mut self, id: &CallerJobId) -> Option<&mut JobClaim> {
+        self.claims.get_mut(id)
+    }
+
+    /// Adds a claim without waiters.
+    pub fn add_claim(&mut self, claim: JobClaim) {
+        self.claim_count += 1;
+        self.claims.insert(claim.job.id, claim);
+    }
+
+    /// Adds a waiter to a claim. Returns whether there is one.
+    pub fn add_claimant(&mut self, id: &CallerJobId, waiter: ReplyId, abandon_at: MonoTime) -> bool {
+        let Some(claim) = self.claims.get_mut(id) else {
+            return false;
+        };
+        claim.waiters.push(waiter);
+        claim.abandon_at = claim.abandon_at.max(abandon_at);
+        self.claimants.insert(waiter, *id);
+        true
+    }
+
+    /// Removes a waiter. Returns its job, and the claim if nobody else waits for it; the claim is then removed as well.
+    pub fn remove_claimant(&mut self, waiter: ReplyId) -> Option<(CallerJobId, Option<JobClaim>)> {
+        let id = self.claimants.remove(&waiter)?;
+        let claim = self.claims.get_mut(&id)?;
+        claim.waiters.retain(|other| *other != waiter);
+        let is_last = claim.waiters.is_empty();
+        Some((id, if is_last { self.claims.remove(&id) } else { None }))
+    }
+
+    /// Removes a claim.
+    pub fn take_claim(&mut self, id: &CallerJobId) -> Option<JobClaim> {
+        let claim = self.claims.remove(id)?;
+        for waiter in &claim.waiters {
+            self.claimants.remove(waiter);
+        }
+        Some(claim)
+    }
+
+    /// Adds a remote waiter, or renews the one that the entry already has. Returns its reply id with whether it is new, or `None` if
+    /// there are too many.
+    pub fn add_remote(&mut self, told_at: MonoTime, session: SessionId, job: CallerJobId) -> Option<(ReplyId, bool)> {
+        let known = self.remote_replies.get(&(session, job)).copied();
+        if known.is_none() && self.remote_waiters.len() >= REMOTE_WAITERS_MAX {
+            return None;
+        }
+        let reply = known.unwrap_or_else(|| {
+            self.last_remote += 1;
+            ReplyId(REMOTE_MARK | self.last_remote)
+        });
+        self.remote_waiters.insert(reply, RemoteWaiter { session, job, told_at, leased_from: told_at, is_confirmed: false });
+        self.remote_replies.insert((session, job), reply);
+        Some((reply, known.is_none()))
+    }
+
+    /// Returns the remote waiter of an entry for a job.
+    pub fn remote_reply(&self, session: SessionId, job: CallerJobId) -> Option<ReplyId> {
+        self.remote_replies.get(&(session, job)).copied()
+    }
+
+    /// Removes a remote waiter. Returns `None` if `reply` belongs to a caller of this entry.
+    pub fn take_remote(&mut self, reply: ReplyId) -> Option<RemoteWaiter> {
+        let waiter = self.remote_waiters.remove(&reply)?;
+        self.remote_replies.remove(&(waiter.session, waiter.job));
+        Some(waiter)
+    }
+
+    /// Renews the leases of remote waiters from what the peers have echoed. Returns those whose leases have ended.
+    pub fn renew_remotes(&mut self, now: MonoTime, registry: &PeerRegistry) -> Vec<ReplyId> {
+        for waiter in self.remote_waiters.values_mut() {
+            let echo = registry.get(waiter.session).map_or(MonoTime::ZERO, |link| link.echo);
+            waiter.leased_from = waiter.leased_from.max(echo);
+            waiter.is_confirmed |= echo >= waiter.told_at;
+        }
+        let has_ended = |waiter: &RemoteWaiter| now.since(waiter.leased_from) >= HOLDING_LEASE;
+        self.remote_waiters.iter().filter(|(_, waiter)| has_ended(waiter)).map(|(reply, _)| *reply).collect()
+    }
+
+    /// Returns whether an entry that was told that a job is open here may not have received that, and may run the job itself.
+    pub fn is_unconfirmed(&self, id: &CallerJobId) -> bool {
+        !self.remote_waiters.is_empty() && self.remote_waiters.values().any(|waiter| waiter.job == *id && !waiter.is_confirmed)
+    }
+
+    /// Returns the links over which one side holds a job for the other.
+    pub fn holding_sessions(&self) -> BTreeSet<SessionId> {
+        let homes = self.claims.values().flat_map(|claim| claim.peers_with(PeerAnswer::Open));
+        homes.chain(self.remote_waiters.values().map(|waiter| waiter.session)).collect()
+    }
+}
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -96,6 +96,22 @@
         self.update_ready(&id);
     }
 
+    /// Extends the time until an open job is abandoned, and continues the job if it is being stopped. Adds a waiter if `is_new`. Returns
+    /// whether the job is open and has not ended.
+    pub fn join(&mut self, id: &CallerJobId, waiter: ReplyId, abandon_at: MonoTime, is_new: bool) -> bool {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.final_phase.is_none()) else {
+            return false;
+        };
+        job.is_stopping = false;
+        job.times.abandon_at = job.times.abandon_at.max(abandon_at);
+        if is_new {
+            job.waiters.push(waiter);
+            self.waiters.insert(waiter, *id);
+        }
+        self.update_ready(id);
+        true
+    }
+
     /// Returns the job that a caller waits for, or `None` if it was answered.
     pub fn awaited_job(&self, waiter: ReplyId) -> Option<CallerJobId> {
         self.waiters.get(&waiter).copied()
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -6,9 +6,11 @@
 mod caller_api;
 mod dispatch;
 mod entry_load;
+mod job_homes;
 mod job_order;
 mod job_table;
 mod open_job;
+mod peer_registry;
 mod resume_barrier;
 mod run_times;
 mod straggler_rule;
@@ -17,11 +19,12 @@
 mod worker_registry;
 
 pub use caller_api::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
-pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, Measurement};
+pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, Measurement, PeerAction, PeerEvent};
 pub use entry_load::EntryLoad;
 pub use job_order::{core_share, job_age, queue_wait, resubmit_delay, JobRank, JobTimes};
 pub use job_table::{JobEffect, JobTable};
 pub use open_job::{FormerRun, OpenJob, TaskSlot};
+pub use peer_registry::{FrameRefusal, PeerIdentity, PeerLink, PeerRegistry};
 pub use run_times::RouteTimes;
 pub use straggler_rule::{slowness_threshold, RunForecast};
 pub use worker_capacity::WorkerCapacity;
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod callers;
 pub mod checks;
 pub mod faults;
+pub mod peer_bench;
 pub mod plans;
 pub mod simulation;
 pub mod site_bench;
--- a/crates/runs/tests/support/plans.rs
+++ b/crates/runs/tests/support/plans.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use vanillacleat_core::ids::Incarnation;
+use vanillacleat_core::ids::{Incarnation, ProcessStart};
 use vanillacleat_core::site_plan::{RouteRule, RouteTable, SitePlan};
 use vanillacleat_core::units::{Millis, Revision};
 use vanillacleat_runs::entry::DispatchOptions;
@@ -33,6 +33,8 @@
 pub fn make_options(zone: usize) -> DispatchOptions {
     DispatchOptions {
         incarnation: Incarnation(zone as u64),
+        process_start: ProcessStart(1),
+        address: SmolStr::new(format!("entry-{zone}")),
         zone: format!("zone-{zone}").parse().expect("a valid name"),
         lease_terms: LeaseTerms::default(),
         resubmit_after: RESUBMIT_AFTER,
--- a/crates/runs/tests/support/simulation.rs
+++ b/crates/runs/tests/support/simulation.rs
@@ -305,7 +305,7 @@
                 let confirmed = DispatchEvent::CallersConfirmed(number);
                 self.schedule(CONFIRMATION_DELAY, SimulationEvent::DeliverToEntry(entry, incarnation, confirmed));
             }
-            DispatchAction::Measured(_) | DispatchAction::Drained => {}
+            DispatchAction::Peer(_) | DispatchAction::Measured(_) | DispatchAction::Drained => {}
         }
     }
 
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -14,7 +14,7 @@
 
 use crate::errors::{closed_error, WireError};
 use crate::streams::{FrameReceiver, FrameSender};
-use crate::{CALL_PATH, CONNECTION_WINDOW, SESSION_PATH, STREAM_WINDOW};
+use crate::{CALL_PATH, CONNECTION_WINDOW, PEER_PATH, SESSION_PATH, STREAM_WINDOW};
 
 /// Timeout of the TCP connect and the HTTP/2 handshake together.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,9 +45,18 @@
     /// Connects to `address`, in the form `ip:port`, and opens a session. Fails if the address is not valid or the peer does
     /// not answer.
     pub async fn dial(address: &str) -> Result<Self, WireError> {
+        Self::dial_path(address, SESSION_PATH).await
+    }
+
+    /// Connects to the entry at `address` and opens a session between two entries. Fails like [`Self::dial`].
+    pub async fn dial_peer(address: &str) -> Result<Self, WireError> {
+        Self::dial_path(address, PEER_PATH).await
+    }
+
+    async fn dial_path(address: &str, path: &str) -> Result<Self, WireError> {
         let address: SocketAddr = address.parse().map_err(|_| closed_error(format!("{address} is not a socket address")))?;
         let connection = WireConnection::connect(address).await?;
-        let (sender, receiver) = connection.open_session().await?;
+        let (sender, receiver) = connection.open_stream(path).await?;
         Ok(Self { connection, sender, receiver })
     }
 }
@@ -86,8 +95,12 @@
 
     /// Opens a session and returns its two directions.
     pub async fn open_session<S: Serialize, R: DeserializeOwned>(&self) -> Result<(FrameSender<S>, FrameReceiver<R>), WireError> {
+        self.open_stream(SESSION_PATH).await
+    }
+
+    async fn open_stream<S: Serialize, R: DeserializeOwned>(&self, path: &str) -> Result<(FrameSender<S>, FrameReceiver<R>), WireError> {
         let mut requests = self.requests.clone().ready().await.map_err(closed_error)?;
-        let (response, stream) = requests.send_request(build_request(SESSION_PATH)?, false).map_err(closed_error)?;
+        let (response, stream) = requests.send_request(build_request(path)?, false).map_err(closed_error)?;
         let response = response.await.map_err(closed_error)?;
         check_status(response.status())?;
         Ok((FrameSender::new(stream), FrameReceiver::new(response.into_body())))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,8 @@
 
 /// Request path that opens a session.
 const SESSION_PATH: &str = "/session";
+/// Request path that opens a session between two entries.
+const PEER_PATH: &str = "/peer";
 /// Request path of a call.
 const CALL_PATH: &str = "/call";
 /// Flow-control window of one stream, in bytes.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -12,14 +12,14 @@
 
 use crate::errors::{closed_error, WireError};
 use crate::streams::{FrameReceiver, FrameSender};
-use crate::{CALL_PATH, CONNECTION_WINDOW, SESSION_PATH, STREAM_WINDOW};
+use crate::{CALL_PATH, CONNECTION_WINDOW, PEER_PATH, SESSION_PATH, STREAM_WINDOW};
 
 /// Delay after a failed accept. Without it the loop would spin while the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of concurrent streams of one connection.
 const STREAMS_MAX: u32 = 10_000;
 
-/// A session that an agent requested and that is not open yet.
+/// A session that an agent or another entry requested and that is not open yet.
 #[derive(Debug)]
 pub struct SessionStream {
     request: RecvStream,
@@ -54,8 +54,10 @@
 /// A stream that the peer opened.
 #[derive(Debug)]
 pub enum IncomingStream {
-    /// A session.
+    /// A session with an agent.
     Session(SessionStream),
+    /// A session with another entry.
+    PeerSession(SessionStream),
     /// A call.
     Call(CallStream),
 }
@@ -102,6 +104,7 @@
     let request = request.into_body();
     match path.as_str() {
         SESSION_PATH => Some(IncomingStream::Session(SessionStream { request, respond })),
+        PEER_PATH => Some(IncomingStream::PeerSession(SessionStream { request, respond })),
         CALL_PATH => Some(IncomingStream::Call(CallStream { request, respond })),
         _ => {
             let mut response = Response::new(());
--- a/crates/wire/tests/frame_limits.rs
+++ b/crates/wire/tests/frame_limits.rs
@@ -62,7 +62,7 @@
                 let _ = sender.send_last(&format!("received {text}")).await;
             }
         }
-        IncomingStream::Session(session) => {
+        IncomingStream::Session(session) | IncomingStream::PeerSession(session) => {
             let (mut sender, mut receiver): (FrameSender<u64>, FrameReceiver<u64>) = session.open().unwrap();
             while let Ok(number) = receiver.receive().await {
                 let _ = sender.send(&(number + 1)).await;
