Load figures wait for the next pulse; claims go on at an entry that gets its processor in slices

Only strained and draining are sent early. A stall extends the wait for answers three times at most; before, an entry whose steps are all 50 ms apart would have waited for a silent peer until its caller gave up. Addresses that could not be dialed for minutes are added again with each read of the list.

--- a/crates/core/src/peer_frames.rs
+++ b/crates/core/src/peer_frames.rs
@@ -74,6 +74,13 @@
     pub services: Vec<ServiceLoad>,
 }
 
+impl PeerLoad {
+    /// Returns whether an entry with the other load accepts jobs just as this one.
+    pub fn has_same_state(&self, other: &Self) -> bool {
+        (self.is_strained, self.is_draining) == (other.is_strained, other.is_draining)
+    }
+}
+
 /// The load of a service at an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceLoad {
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -21,7 +21,7 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum number of items in a frame.
 const ITEMS_MAX: usize = 512;
-/// Gap between two events above which the time until peers must have answered starts again: their answers may wait unread.
+/// Gap between two events above which the peers' answers may wait unread.
 const ANSWER_GAP_MAX: Duration = Duration::from_millis(50);
 
 /// Frames about jobs that wait to be sent, by link.
@@ -57,6 +57,7 @@
             route: route.clone(),
             abandon_at,
             asked_at: self.now,
+            extensions: 0,
             blocked_until: MonoTime::ZERO,
             lost_home: None,
             waiters: Vec::new(),
@@ -284,18 +285,18 @@
             }
             self.push_report(session, job, HeldState::Unknown);
         }
+        // A peer that takes longer to handle a frame counts as strained.
+        let ask_timeout = self.load.lag_max() + QUERY_INTERVAL;
         if gap > ANSWER_GAP_MAX {
             let now = self.now;
-            self.job_homes.claims_mut().for_each(|(_, claim)| claim.asked_at = now);
+            self.job_homes.claims_mut().for_each(|(_, claim)| claim.extend(now, ask_timeout));
         }
         if !self.resume_barrier.is_raised() {
-            self.resolve_claims();
+            self.resolve_claims(ask_timeout);
         }
     }
 
-    fn resolve_claims(&mut self) {
-        // A peer that takes longer to handle a frame counts as strained.
-        let ask_timeout = self.load.lag_max() + QUERY_INTERVAL;
+    fn resolve_claims(&mut self, ask_timeout: Duration) {
         let home_end = |session| self.peer_registry.get(session).map_or(MonoTime::ZERO, |link| self.home_end(link));
         let states = self.job_homes.claims().map(|(id, claim)| (*id, claim.state(self.now, ask_timeout, home_end)));
         let due: Vec<(CallerJobId, ClaimState)> = states.filter(|(_, state)| *state != ClaimState::Wait).collect();
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -209,12 +209,13 @@
     }
 
     pub(super) fn handle_entries(&mut self, entries: Vec<EntryRecord>) {
+        // Also if nothing has changed: an address that could not be dialed for minutes is dialed again.
+        self.peer_registry.set_entries(&entries);
         if entries == self.entries {
             return;
         }
         self.log(format!("event=entries_read entries={}", entries.len()));
         self.entries = entries;
-        self.peer_registry.set_entries(&self.entries);
         let sessions: Vec<SessionId> = self.worker_registry.workers().filter_map(|worker| worker.session).collect();
         for session in sessions {
             self.actions.push(DispatchAction::Send { session, frame: OrderFrame::Entries(self.entries.clone()) });
--- a/crates/runs/src/entry/job_homes.rs
+++ b/crates/runs/src/entry/job_homes.rs
@@ -20,6 +20,10 @@
 const CLAIMS_MAX: usize = 4_096;
 /// Maximum number of remote waiters. Peers that ask beyond it are told that the job is unknown.
 const REMOTE_WAITERS_MAX: usize = 4_096;
+/// Time that is left for reading the answers that may have arrived while this process was stalled.
+const READING_TIME: Duration = Duration::from_millis(25);
+/// Maximum number of times that a claim waits longer because of stalls, so that an entry which gets its processor in slices goes on.
+const EXTENSIONS_MAX: u32 = 3;
 /// Marks the reply ids of remote waiters. Those of callers are counted from zero.
 const REMOTE_MARK: u64 = 1 << 63;
 
@@ -43,8 +47,10 @@
     pub route: Arc<RouteRule>,
     /// When the last of the callers stops waiting.
     pub abandon_at: MonoTime,
-    /// When the peers were last asked.
+    /// When the peers were last asked, or later if this process was stalled since.
     pub asked_at: MonoTime,
+    /// Number of times that the claim waits longer because of stalls.
+    pub extensions: u32,
     /// When every run of a home that was lost has ended.
     pub blocked_until: MonoTime,
     /// The last home that was lost.
@@ -110,6 +116,14 @@
         }
     }
 
+    /// Leaves time for reading the peers' answers after a stall of this process.
+    pub fn extend(&mut self, now: MonoTime, ask_timeout: Duration) {
+        if self.extensions < EXTENSIONS_MAX {
+            self.extensions += 1;
+            self.asked_at = self.asked_at.max(now.before(ask_timeout) + READING_TIME);
+        }
+    }
+
     /// Returns the links to peers with this answer.
     pub fn peers_with(&self, answer: PeerAnswer) -> Vec<SessionId> {
         self.peers.iter().filter(|(_, known)| **known == answer).map(|(session, _)| *session).collect()
--- a/crates/runs/src/entry/peer_registry.rs
+++ b/crates/runs/src/entry/peer_registry.rs
@@ -22,8 +22,8 @@
 pub const HOLDING_PULSE_INTERVAL: Duration = Duration::from_millis(150);
 /// Lease of what an entry holds for a peer.
 pub const HOLDING_LEASE: Duration = Duration::from_millis(600);
-/// Minimum interval of pulses that report a changed load.
-const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval of pulses that are sent early because the entry's state has changed. Other changes of its load wait for a pulse.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a frame after which a link is closed: a little over two pulses.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// Maximum number of links, including those that have not said hello.
@@ -70,7 +70,6 @@
     /// Whether a pulse is due at once.
     pub is_pulse_due: bool,
     pulsed_at: MonoTime,
-    load_sent_at: MonoTime,
     sent_load: PeerLoad,
 }
 
@@ -156,7 +155,6 @@
             peer_clock_at: now,
             is_pulse_due: false,
             pulsed_at: now,
-            load_sent_at: now,
             sent_load: PeerLoad::default(),
         };
         self.links.insert(session, link);
@@ -270,12 +268,13 @@
         self.has_due_pulse = false;
         for (session, link) in self.links.iter_mut().filter(|(_, link)| link.hello.is_some()) {
             let interval = if is_holding(*session) { HOLDING_PULSE_INTERVAL } else { PULSE_INTERVAL };
-            let is_changed = link.sent_load != *load && now.since(link.load_sent_at) >= LOAD_INTERVAL;
-            if !link.is_pulse_due && !is_changed && now.since(link.pulsed_at) < interval {
+            let is_changed = link.sent_load != *load;
+            let is_urgent = !link.sent_load.has_same_state(load) && now.since(link.pulsed_at) >= CHANGE_INTERVAL;
+            if !link.is_pulse_due && !is_urgent && now.since(link.pulsed_at) < interval {
                 continue;
             }
             if is_changed {
-                (link.sent_load, link.load_sent_at) = (load.clone(), now);
+                link.sent_load = load.clone();
             }
             (link.is_pulse_due, link.pulsed_at) = (false, now);
             let pulse = PeerPulse { clock: clock_millis(now), echo: link.peer_clock, load: is_changed.then(|| load.clone()) };
