--- a/crates/runs/tests/job_homes.rs
+++ b/crates/runs/tests/job_homes.rs
@@ -116,7 +116,7 @@
 
 // Guards against a home that was paused and places the job again when it resumes, after another entry has started it.
 #[rstest]
-fn resumed_home_starts_no_second_run(#[values(1_000, 1_250)] paused_for: u64, #[values(300, 1_000, 3_000)] resumed_after: u64) {
+fn resumed_home_starts_no_second_run(#[values(1_000, 1_250)] paused_for: u64, #[values(300, 700, 1_000, 3_000)] resumed_after: u64) {
     let mut bench = PeerBench::new(2, 4);
     bench.set_run_time(60_000);
     bench.submit(0, CALLER, FIRST);
--- a/crates/runs/tests/support/peer_bench.rs
+++ b/crates/runs/tests/support/peer_bench.rs
@@ -10,7 +10,7 @@
 use vanillacleat_core::caller_job::{CallerJobId, RunId, TaskId};
 use vanillacleat_core::ids::{Incarnation, ProcessStart};
 use vanillacleat_core::peer_frames::PeerFrame;
-use vanillacleat_core::run_frames::{EntryRecord, RunFrame};
+use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 use vanillacleat_runs::agent::RunnerEvent;
@@ -56,7 +56,9 @@
     entries: Vec<EntryProcess>,
     /// The entries of each open link: the one that dialed comes first.
     links: BTreeMap<SessionId, (usize, usize)>,
-    last_link: u64,
+    /// The agent and the entry of each open session.
+    sessions: BTreeMap<SessionId, (usize, usize)>,
+    last_session: u64,
     /// Events on their way to entries.
     sent: Vec<(usize, DispatchEvent)>,
     now: u64,
@@ -75,7 +77,8 @@
             cut: BTreeSet::new(),
             entries: Vec::new(),
             links: BTreeMap::new(),
-            last_link: 10_000,
+            sessions: BTreeMap::new(),
+            last_session: 0,
             sent: Vec::new(),
             now: 10,
         };
@@ -136,10 +139,8 @@
         self.entries[entry] = make_process(entry, incarnation, self.now);
         let links: Vec<SessionId> = self.links.iter().filter(|(_, (a, b))| *a == entry || *b == entry).map(|(id, _)| *id).collect();
         links.into_iter().for_each(|link| self.close_link(entry, link));
-        for number in 0..self.agents.len() {
-            let (session, address) = (agent_session(number, entry), entry_address(entry));
-            self.agents[number].deliver(RunnerEvent::SessionClosed { session: Some(session), address });
-        }
+        let sessions: Vec<SessionId> = self.sessions.iter().filter(|(_, (_, e))| *e == entry).map(|(id, _)| *id).collect();
+        sessions.into_iter().for_each(|session| self.close_session(session));
         self.configure(entry, self.entries.len());
     }
 
@@ -185,10 +186,7 @@
         let records = (0..entries).map(|number| EntryRecord { address: entry_address(number), zone: None, millicores: 0 });
         self.deliver(entry, DispatchEvent::PlanRead(make_patient_plan()));
         self.deliver(entry, DispatchEvent::EntriesRead(records.collect()));
-        for number in 0..self.agents.len() {
-            let (session, address) = (agent_session(number, entry), entry_address(entry));
-            self.agents[number].deliver(RunnerEvent::SessionOpened { session, address });
-        }
+        (0..self.agents.len()).for_each(|agent| self.open_session(agent, entry));
     }
 
     fn request(&mut self, entry: usize, caller: u64, reply: u64, timeout: Duration) {
@@ -198,11 +196,43 @@
     }
 
     fn advance_agents(&mut self) {
-        for agent in &mut self.agents {
+        for number in 0..self.agents.len() {
+            let agent = &mut self.agents[number];
             agent.advance(self.now);
-            for (session, frame) in agent.sent_frames.drain(..).collect::<Vec<(SessionId, RunFrame)>>() {
-                self.sent.push((session.0 as usize % 100 - 1, DispatchEvent::Frame { session, frame }));
+            let (frames, closed) = (std::mem::take(&mut agent.sent_frames), std::mem::take(&mut agent.closed_sessions));
+            let dials = std::mem::take(&mut agent.dials);
+            for (session, frame) in frames {
+                self.send_to_entry(session, DispatchEvent::Frame { session, frame });
             }
+            for session in closed {
+                self.send_to_entry(session, DispatchEvent::SessionClosed(session));
+                self.sessions.remove(&session);
+            }
+            for entry in 0..self.entries.len() {
+                if dials.contains(&entry_address(entry)) && !self.sessions.values().any(|pair| *pair == (number, entry)) {
+                    self.open_session(number, entry);
+                }
+            }
+        }
+    }
+
+    fn open_session(&mut self, agent: usize, entry: usize) {
+        self.last_session += 1;
+        let session = SessionId(self.last_session);
+        self.sessions.insert(session, (agent, entry));
+        self.agents[agent].deliver(RunnerEvent::SessionOpened { session, address: entry_address(entry) });
+    }
+
+    /// Closes a session at its agent.
+    fn close_session(&mut self, session: SessionId) {
+        if let Some((agent, entry)) = self.sessions.remove(&session) {
+            self.agents[agent].deliver(RunnerEvent::SessionClosed { session: Some(session), address: entry_address(entry) });
+        }
+    }
+
+    fn send_to_entry(&mut self, session: SessionId, event: DispatchEvent) {
+        if let Some((_, entry)) = self.sessions.get(&session) {
+            self.sent.push((*entry, event));
         }
     }
 
@@ -223,8 +253,11 @@
         match action {
             DispatchAction::Reply { reply, answer } => self.answers.push((self.now, entry, reply, answer)),
             DispatchAction::Send { session, frame } => {
-                self.agents[session.0 as usize / 100].deliver(RunnerEvent::Frame { session, frame });
+                if let Some((agent, _)) = self.sessions.get(&session) {
+                    self.agents[*agent].deliver(RunnerEvent::Frame { session, frame });
+                }
             }
+            DispatchAction::Close(session) => self.close_session(session),
             DispatchAction::ConfirmCallers(number) => self.entries[entry].confirmation = Some(number),
             DispatchAction::Log(line) => self.log_lines.push((self.now, entry, line)),
             DispatchAction::Peer(PeerAction::Dial(address)) => self.dial(entry, &address),
@@ -244,8 +277,8 @@
         let Some(peer) = peer else {
             return self.sent.push((entry, DispatchEvent::Peer(PeerEvent::DialFailed(address.clone()))));
         };
-        self.last_link += 1;
-        let session = SessionId(self.last_link);
+        self.last_session += 1;
+        let session = SessionId(self.last_session);
         self.links.insert(session, (entry, peer));
         self.sent.push((entry, DispatchEvent::Peer(PeerEvent::Opened { session, dialed: Some(address.clone()) })));
         self.sent.push((peer, DispatchEvent::Peer(PeerEvent::Opened { session, dialed: None })));
@@ -302,7 +335,3 @@
 fn entry_address(entry: usize) -> SmolStr {
     SmolStr::new(format!("entry-{entry}"))
 }
-
-fn agent_session(agent: usize, entry: usize) -> SessionId {
-    SessionId(agent as u64 * 100 + entry as u64 + 1)
-}
