--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -214,6 +214,8 @@
     }
 
     pub(super) fn handle_entries(&mut self, entries: Vec<EntryRecord>) {
+        // Also if nothing has changed: an address that could not be dialed for minutes is dialed again.
+        self.peer_registry.set_entries(&entries);
         if entries == self.entries {
             return;
         }
