--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -169,7 +169,7 @@
         let free_cores = serving.map(|worker| worker.free_capacity().millicores).sum::<u64>() / 1_000;
         let waiting = self.job_table.jobs().filter(|job| job.route.service == *service && job.is_active());
         let queued = waiting.map(|job| job.waiting_work()).sum();
-        let wait = queue_wait(queued, self.worker_registry.expected_cores(service, &self.plan.zones_out));
+        let wait = queue_wait(queued, self.worker_registry.expected_cores(self.now, service, &self.plan.zones_out, None));
         let queue_wait = wait.map(|wait| Millis::from_duration(WAIT_STEP * (wait.as_millis() / WAIT_STEP.as_millis()) as u32));
         ServiceLoad { service: service.clone(), free_cores: round_to_power(free_cores), queue_wait }
     }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -177,7 +177,7 @@
     /// it. Returns `None` if there is such work and the service has no healthy worker and no run of this entry.
     pub(super) fn start_delay(&self, times: &JobTimes, route: &RouteRule) -> Option<Duration> {
         let queued = self.job_table.work_ahead(self.now, times.rank(self.now, route.priority));
-        queue_wait(queued, self.worker_registry.expected_cores(self.now, &route.service, &self.plan.zones_out, &route.name))
+        queue_wait(queued, self.worker_registry.expected_cores(self.now, &route.service, &self.plan.zones_out, Some(&route.name)))
     }
 }
 
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -322,10 +322,10 @@
     }
 
     /// Returns the number of cores that this entry can expect to use on the workers of a service: its share of each worker that
-    /// is connected, ready, not slow and outside `zones_out`. A core of a worker that takes longer for a route's tasks than a
+    /// is connected, ready, not slow and outside `zones_out`. If a route is given, a core of a worker that takes longer for its tasks than a
     /// quick one counts for accordingly less.
-    pub fn expected_cores(&self, now: MonoTime, service: &ServiceName, zones_out: &BTreeSet<ZoneName>, route: &SmolStr) -> f64 {
-        let index = self.speed_table.index(route);
+    pub fn expected_cores(&self, now: MonoTime, service: &ServiceName, zones_out: &BTreeSet<ZoneName>, route: Option<&SmolStr>) -> f64 {
+        let index = route.and_then(|route| self.speed_table.index(route));
         let healthy =
             self.workers.values().filter(|worker| !worker.is_slow && !zones_out.contains(&worker.zone) && worker.session.is_some());
         let serving = healthy.filter_map(|worker| {
--- a/crates/runs/tests/extreme_values.rs
+++ b/crates/runs/tests/extreme_values.rs
@@ -89,6 +89,7 @@
             labels: Vec::new(),
             is_ready: true,
             cold: Millis(u64::MAX),
+            leaves_in: Some(Millis(u64::MAX)),
         }),
         progress: vec![RunProgress {
             run,
