--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use metrics::{Gauge, Histogram};
+use metrics::{Counter, Gauge, Histogram};
 use smol_str::SmolStr;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -63,6 +63,7 @@
     next_session: u64,
     runs_at_worker: Gauge,
     sessions: Gauge,
+    refused_speeds: Counter,
     /// Time from a start call until the worker has answered it.
     start_time: Histogram,
 }
@@ -78,6 +79,7 @@
             next_session: 0,
             runs_at_worker: metrics::gauge!("runs_at_worker"),
             sessions: metrics::gauge!("runs_sessions"),
+            refused_speeds: metrics::counter!("runs_refused_speeds_total"),
             start_time: metrics::histogram!("runs_worker_start_seconds"),
         }
     }
@@ -108,6 +110,7 @@
         actions.into_iter().for_each(|action| self.execute(action));
         self.runs_at_worker.set(self.control.run_table().len() as f64);
         self.sessions.set(self.control.session_count() as f64);
+        self.refused_speeds.absolute(self.control.refused_speeds());
         if is_drained {
             std::thread::sleep(FLUSH_DELAY);
             return ControlStep::Stop;
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::RunId;
-use vanillacleat_core::run_frames::{EndSign, OrderFrame, OrderedRun, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{EndSign, KnownSpeeds, OrderFrame, OrderedRun, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 
@@ -42,10 +42,16 @@
                 self.actions.push(RunnerAction::Send { session, frame: RunFrame::Plan(plan) });
             }
             OrderFrame::Entries(entries) => self.add_entries(entries),
-            OrderFrame::Speeds(known) => self.speeds.merge(&known),
+            OrderFrame::Speeds(known) => self.handle_speeds(session, &known),
         }
     }
 
+    fn handle_speeds(&mut self, session: SessionId, known: &KnownSpeeds) {
+        self.speeds.merge(known);
+        let (routes, refused) = (known.routes.len(), self.speeds.refused());
+        self.log(format!("event=speeds_taken session={session} routes={routes} refused_total={refused}"));
+    }
+
     fn handle_plan(&mut self, plan: &SitePlan) {
         if self.plan.merge(plan) {
             let (version, zones) = (self.plan.version(), self.plan.zones_out.len());
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -405,7 +405,7 @@
     /// Runs the periodic checks of sessions, workers and jobs.
     fn run_maintenance(&mut self) {
         self.close_silent_sessions();
-        self.worker_registry.update_speeds(self.now, |route| self.route_times.ratio(route));
+        self.update_speeds();
         self.record_slow_workers();
         self.record_delayed_reports();
         self.expire_agents();
--- a/crates/runs/src/entry/dispatch/performance.rs
+++ b/crates/runs/src/entry/dispatch/performance.rs
@@ -9,11 +9,22 @@
 
 use super::DispatchControl;
 use crate::entry::straggler_rule::RunForecast;
+use crate::entry::worker_speeds::RouteSummary;
 
 /// Minimum time that a run must have taken so far for its progress to give a reliable forecast.
 const FORECAST_AGE_MIN: Duration = Duration::from_millis(40);
 
 impl DispatchControl {
+    /// Updates the expected speeds of the workers and logs each noticeable change.
+    pub(super) fn update_speeds(&mut self) {
+        for (route, summary) in self.worker_registry.update_speeds(self.now, |route| self.route_times.ratio(route)) {
+            let RouteSummary { typical_percent, quick_percent, is_uneven } = summary;
+            self.log(format!(
+                "event=speeds_changed route={route} typical_percent={typical_percent} quick_percent={quick_percent} uneven={is_uneven}"
+            ));
+        }
+    }
+
     /// Updates the set of slow workers and logs each change of it.
     pub(super) fn record_slow_workers(&mut self) {
         let slow = self.worker_registry.update_slow_workers(self.now);
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -28,4 +28,4 @@
 pub use worker_capacity::WorkerCapacity;
 pub use worker_performance::WorkerPerformance;
 pub use worker_registry::{CapacityRequest, HelloOutcome, WorkerRegistry};
-pub use worker_speeds::{RouteIndex, SpeedTable, TaskTiming, TimeFit, WorkerRatio};
+pub use worker_speeds::{RouteIndex, RouteSummary, SpeedTable, TaskTiming, TimeFit, WorkerRatio};
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -21,6 +21,9 @@
 /// Maximum time for which a worker is believed to be slow after its start.
 const COLD_MAX: Duration = Duration::from_secs(60);
 
+/// Maximum notice of leaving that is believed.
+const NOTICE_MAX: Duration = Duration::from_secs(3_600);
+
 /// Maximum number of routes whose speeds are kept for one worker.
 const SPEEDS_MAX: usize = 32;
 
@@ -147,7 +150,7 @@
         self.used_by_others = report.used.saturating_sub(&report.used_by_entry);
         if let Some(info) = &report.worker {
             self.cold_until = now + info.cold.to_duration().min(COLD_MAX);
-            self.leaves_at = info.leaves_in.map(|left| now + left.to_duration());
+            self.leaves_at = info.leaves_in.map(|left| now + left.to_duration().min(NOTICE_MAX));
             if self.kind() != info.kind() {
                 self.speeds.clear();
             }
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -14,7 +14,7 @@
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_performance::WorkerPerformance;
-use super::worker_speeds::{SpeedTable, TaskTiming, WorkerRatio};
+use super::worker_speeds::{RouteSummary, SpeedTable, TaskTiming, WorkerRatio};
 use crate::LeaseTerms;
 
 /// Number of agents per zone that keep a copy of the routes for entries that can't reach the platform's store.
@@ -181,13 +181,17 @@
         }
     }
 
-    /// Computes the workers' expected speeds from what was reported since the last time.
-    pub fn update_speeds(&mut self, now: MonoTime, observed: impl Fn(&SmolStr) -> f64) {
+    /// Computes the workers' expected speeds from what was reported since the last time. Returns the routes whose ratios have changed
+    /// noticeably.
+    pub fn update_speeds(&mut self, now: MonoTime, observed: impl Fn(&SmolStr) -> f64) -> Vec<(SmolStr, RouteSummary)> {
+        let mut changes = Vec::new();
         if self.are_speeds_new && now.since(self.speeds_updated_at) >= SPEEDS_INTERVAL {
             self.speed_table.update(&mut self.workers, observed);
             (self.are_speeds_new, self.speeds_updated_at) = (false, now);
+            changes = self.speed_table.take_changes();
         }
         self.speed_table.update_scarcity(&self.workers);
+        changes
     }
 
     /// Returns the expected speeds by route.
--- a/crates/runs/src/entry/worker_speeds.rs
+++ b/crates/runs/src/entry/worker_speeds.rs
@@ -43,6 +43,9 @@
 /// Number of runs on such workers from which the factor is taken from them.
 const COLD_RUNS_MIN: u64 = 32;
 
+/// Change of a route's ratios that is logged, in percent of them.
+const LOGGED_CHANGE_PERCENT: u32 = 20;
+
 /// The place of a route in the table, valid until the next route is added.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RouteIndex(usize);
@@ -106,6 +109,19 @@
     /// Ratios of the runs on workers that started recently to those expected of the workers otherwise.
     cold: RatioSketch,
     cold_factor: Option<f64>,
+    /// The summaries of the routes as last taken.
+    taken: BTreeMap<SmolStr, RouteSummary>,
+}
+
+/// What a route's runs take on the workers, for the log. The ratios are in percent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteSummary {
+    /// Run time by estimate on a typical worker.
+    pub typical_percent: u32,
+    /// The same on a worker that is quicker than most.
+    pub quick_percent: u32,
+    /// Whether some workers are faster than typical ones.
+    pub is_uneven: bool,
 }
 
 impl SpeedTable {
@@ -142,6 +158,27 @@
         }
     }
 
+    /// Returns the summaries of the routes that have changed noticeably since they were last taken.
+    pub fn take_changes(&mut self) -> Vec<(SmolStr, RouteSummary)> {
+        let percent = |ratio: f64| (ratio * 100.0).round() as u32;
+        let summaries = self.routes.iter().zip(&self.bases).map(|(route, basis)| {
+            let RouteBasis { typical, quick, is_uneven, .. } = *basis;
+            (route.clone(), RouteSummary { typical_percent: percent(typical), quick_percent: percent(quick), is_uneven })
+        });
+        let has_moved = |old: u32, new: u32| old.abs_diff(new) * 100 > old * LOGGED_CHANGE_PERCENT;
+        let is_change = |(route, new): &(SmolStr, RouteSummary)| {
+            self.taken.get(route).is_none_or(|old| {
+                old.is_uneven != new.is_uneven
+                    || has_moved(old.typical_percent, new.typical_percent)
+                    || has_moved(old.quick_percent, new.quick_percent)
+            })
+        };
+        let changes: Vec<(SmolStr, RouteSummary)> = summaries.filter(is_change).collect();
+        self.taken.retain(|route, _| self.routes.contains(route));
+        self.taken.extend(changes.iter().cloned());
+        changes
+    }
+
     /// Updates whether the fast workers are nearly used up.
     pub fn update_scarcity(&mut self, workers: &BTreeMap<AgentId, WorkerCapacity>) {
         for (index, basis) in self.bases.iter_mut().enumerate().filter(|(_, basis)| basis.is_uneven) {
--- a/crates/runs/tests/uneven_workers.rs
+++ b/crates/runs/tests/uneven_workers.rs
@@ -132,6 +132,21 @@
     assert!((1.5..2.0).contains(&ratio.expect("a known worker").expected));
 }
 
+/// Load: work is admitted for a third of slow workers, which can do less with their cores.
+#[test]
+fn expected_cores_count_work_that_can_be_done() {
+    let mut site = SteadySite::new(4);
+    while site.now < 20_000 {
+        site.advance();
+    }
+    let (service, at) = (&site.workers[0].info.service, MonoTime::from_millis(site.now));
+    let cores = |route| site.registry.expected_cores(at, service, &BTreeSet::new(), &SmolStr::new_static(route));
+    // Eight fast workers of 32 cores, and four of 48 that do 0.7 / 1.7 of the work with each.
+    let expected = 256.0 + 192.0 * 0.7 / 1.7;
+    assert!((cores("long") - expected).abs() < expected * 0.1, "{} instead of {expected}", cores("long"));
+    assert!((cores("unknown") - 448.0).abs() < 1.0, "a route without runs counts cores");
+}
+
 fn speed(route: &str, typical_percent: u32, high_percent: u32) -> RouteSpeed {
     RouteSpeed { route: SmolStr::new(route), typical_percent, high_percent, runs: 200 }
 }
