--- a/crates/runs/tests/uneven_workers.rs
+++ b/crates/runs/tests/uneven_workers.rs
@@ -140,7 +140,7 @@
         site.advance();
     }
     let (service, at) = (&site.workers[0].info.service, MonoTime::from_millis(site.now));
-    let cores = |route| site.registry.expected_cores(at, service, &BTreeSet::new(), &SmolStr::new_static(route));
+    let cores = |route| site.registry.expected_cores(at, service, &BTreeSet::new(), Some(&SmolStr::new_static(route)));
     // Eight fast workers of 32 cores, and four of 48 that do 0.7 / 1.7 of the work with each.
     let expected = 256.0 + 192.0 * 0.7 / 1.7;
     assert!((cores("long") - expected).abs() < expected * 0.1, "{} instead of {expected}", cores("long"));
