Order the hellos of agents on the project's own interface

Cause: sessions are separate connections, and a hello carried no order. A hello with another incarnation than the known one counted as a restart, so that of an exited process replaced the live one. Change: AgentHello carries a SessionOrder, as for leased runs: the start of the process and the number of the session. An entry ignores a hello that is not later than the last one, counts it and closes its session; an agent that still holds it opens another. A wall clock that was set back between two processes makes the later one look earlier: it is accepted once the known process has no session and no task of this entry can be at it, which is 5 s after the session was lost at the latest. The count of outstanding tasks is now updated when they are abandoned. The simulation gives its agents the time of their start.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,12 +1,13 @@
 //! Starting and stopping an agent.
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::runtime::Handle;
 use vanillacleat_control::agent::{AgentControl, AgentEvent, AgentOptions};
-use vanillacleat_core::ids::{Incarnation, WorkerKey};
+use vanillacleat_core::ids::{Incarnation, ProcessStart, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::settings::AgentSettings;
 use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal};
@@ -70,6 +71,7 @@
 fn control_options(settings: &AgentSettings) -> AgentOptions {
     AgentOptions {
         worker: WorkerKey { agent: settings.id.clone(), incarnation: Incarnation(rand::random()) },
+        process_start: ProcessStart(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64)),
         zone: settings.zone.clone(),
         capacity: TaskDemand { memory_mb: settings.capacity.memory_mb, accelerators: settings.capacity.accelerators },
         entries: settings.entries.iter().map(|address| -> SmolStr { address.to_smolstr() }).collect(),
--- a/crates/control/examples/embed_placement.rs
+++ b/crates/control/examples/embed_placement.rs
@@ -10,6 +10,7 @@
 use vanillacleat_core::frames::{AgentHello, LoadReport, UpstreamInfo};
 use vanillacleat_core::ids::{Incarnation, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
+use vanillacleat_core::run_frames::SessionOrder;
 use vanillacleat_core::settings::PlacementPolicy;
 use vanillacleat_core::units::MonoTime;
 
@@ -20,7 +21,7 @@
         let worker = WorkerKey { agent: format!("worker-{index}").parse()?, incarnation: Incarnation(1) };
         let upstream = UpstreamInfo { upstream: format!("upstream-{index}").parse()?, service: "pricing".parse()?, slots: 8 };
         let load = LoadReport { queued: 0, running, mine: 0, upstreams: vec![upstream] };
-        let hello = AgentHello { worker, zone: "burgos".parse()?, capacity: TaskDemand::default(), load };
+        let hello = AgentHello { worker, order: SessionOrder::default(), zone: "burgos".parse()?, capacity: TaskDemand::default(), load };
         fleet.record_hello(now, SessionId(index as u64), &hello, 0);
     }
     let rule = PlacementRule { policy: PlacementPolicy::LateBinding, overcommit: 1, zone: "burgos".parse()?, rank: (0, 1) };
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -14,9 +14,10 @@
     AgentFrame, AgentHello, EntryFrame, EntryWelcome, Envelope, FreshnessReply, FreshnessRequest, LoadReport, SealReply, TaskDispatch,
     TaskResult, TaskResults,
 };
-use vanillacleat_core::ids::{HomeKey, TaskKey, UpstreamName, WorkerKey, ZoneName};
+use vanillacleat_core::ids::{HomeKey, ProcessStart, TaskKey, UpstreamName, WorkerKey, ZoneName};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::outcome::TaskOutcome;
+use vanillacleat_core::run_frames::SessionOrder;
 use vanillacleat_core::settings::GateSettings;
 use vanillacleat_core::units::{MonoTime, Revision};
 
@@ -44,6 +45,8 @@
 pub struct AgentOptions {
     /// The agent and its incarnation.
     pub worker: WorkerKey,
+    /// The start of the agent's process, which orders its sessions after those of earlier processes.
+    pub process_start: ProcessStart,
     /// The agent's availability zone.
     pub zone: ZoneName,
     /// The worker's capacity.
@@ -137,6 +140,8 @@
     options: AgentOptions,
     gate: StartGate,
     sessions: BTreeMap<SessionId, SessionView>,
+    /// The number of sessions that this process has opened.
+    sessions_opened: u64,
     /// The session with the entry that owns each home, which receives the results of the home's tasks.
     owner_sessions: BTreeMap<HomeKey, SessionId>,
     dialer: EntryDialer,
@@ -158,6 +163,7 @@
             resumed_at: MonoTime::ZERO,
             gate: StartGate::new(options.zone.clone(), options.gate.clone()),
             sessions: BTreeMap::new(),
+            sessions_opened: 0,
             owner_sessions: BTreeMap::new(),
             dialer: EntryDialer::new(options.entries.clone()),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -243,8 +249,10 @@
         self.dialer.record_connected(&address);
         self.sessions.insert(session, SessionView::new(self.now, address));
         let load = self.gate.load(self.now, 0);
-        let AgentOptions { worker, zone, capacity, .. } = &self.options;
-        let hello = AgentHello { worker: worker.clone(), zone: zone.clone(), capacity: *capacity, load };
+        self.sessions_opened += 1;
+        let AgentOptions { worker, process_start, zone, capacity, .. } = &self.options;
+        let order = SessionOrder { process_start: *process_start, number: self.sessions_opened };
+        let hello = AgentHello { worker: worker.clone(), order, zone: zone.clone(), capacity: *capacity, load };
         self.send(session, AgentFrame::Hello(hello));
     }
 
--- a/crates/control/src/entry/mod.rs
+++ b/crates/control/src/entry/mod.rs
@@ -138,6 +138,8 @@
     pub seals: u64,
     /// Results of tasks that belong to no open job.
     pub unwanted: u64,
+    /// Hellos of agents that were delivered after those of later sessions.
+    pub outdated_hellos: u64,
     /// Freshness replies sent in frames of their own.
     pub echoes: u64,
     /// Configurations sent to agents and peers.
@@ -286,6 +288,7 @@
         for worker in self.fleet.lost_incarnations(self.now, LOST_WORKER_GRACE) {
             let effects = self.ledger.abandon_worker(self.now, &worker);
             self.apply_effects(effects);
+            self.record_outstanding(&worker);
         }
     }
 
--- a/crates/control/src/entry/sessions.rs
+++ b/crates/control/src/entry/sessions.rs
@@ -58,8 +58,11 @@
     fn handle_hello(&mut self, session: SessionId, revision: Revision, hello: AgentHello) {
         self.record_revision(revision);
         let worker = hello.worker.clone();
-        self.witnesses.record(self.now, worker.agent.as_str(), &hello.zone, revision, None);
         let outcome = self.fleet.record_hello(self.now, session, &hello, self.ledger.unused_from(self.issuer.home()));
+        if outcome == HelloOutcome::Outdated {
+            return self.ignore_hello(session, &hello);
+        }
+        self.witnesses.record(self.now, worker.agent.as_str(), &hello.zone, revision, None);
         let mut entries = self.peers.addresses(self.now);
         entries.push(self.address.clone());
         self.send(session, EntryFrame::Welcome(EntryWelcome { home: self.home().clone(), entries }));
@@ -67,7 +70,7 @@
             self.send_config(session);
         }
         match outcome {
-            HelloOutcome::Joined => {}
+            HelloOutcome::Joined | HelloOutcome::Outdated => {}
             HelloOutcome::Reconnected => self.send_reclaims(session, &worker),
             HelloOutcome::Restarted(earlier) => {
                 self.witnesses.remove(worker.agent.as_str());
@@ -82,6 +85,13 @@
         self.send_missed_fences(session, &worker);
     }
 
+    /// Closes a session whose hello was delivered after that of a later one. An agent that still holds it opens another.
+    fn ignore_hello(&mut self, session: SessionId, hello: &AgentHello) {
+        self.counters.outdated_hellos += 1;
+        self.log("hello_outdated", format!("agent={} session={session} order={}", hello.worker, hello.order));
+        self.actions.push(EntryAction::Close { session });
+    }
+
     /// Requests the states of the tasks that were sent on the earlier session of a reconnected agent.
     fn send_reclaims(&mut self, session: SessionId, worker: &WorkerKey) {
         let mut by_home: BTreeMap<HomeKey, Vec<_>> = BTreeMap::new();
--- a/crates/control/src/fleet/agent_view.rs
+++ b/crates/control/src/fleet/agent_view.rs
@@ -4,8 +4,9 @@
 
 use serde::Serialize;
 use vanillacleat_core::frames::{AgentHello, LoadReport, UpstreamInfo, WorkerUsage};
-use vanillacleat_core::ids::{ServiceName, WorkerKey, ZoneName};
+use vanillacleat_core::ids::{ProcessStart, ServiceName, WorkerKey, ZoneName};
 use vanillacleat_core::job::TaskDemand;
+use vanillacleat_core::run_frames::SessionOrder;
 use vanillacleat_core::units::MonoTime;
 
 use crate::SessionId;
@@ -26,6 +27,12 @@
 pub struct AgentView {
     /// The agent and its incarnation.
     pub worker: WorkerKey,
+    /// The place of the agent's last session among all that it has opened.
+    #[serde(skip)]
+    pub session_order: SessionOrder,
+    /// The latest start of the agent's processes. A wall clock that was set back makes it later than that of the last session.
+    #[serde(skip)]
+    pub latest_start: ProcessStart,
     /// Its availability zone.
     pub zone: ZoneName,
     /// The total capacity of the worker.
@@ -63,6 +70,8 @@
     pub(super) fn new(now: MonoTime, session: SessionId, hello: &AgentHello, joined_version: u64) -> Self {
         let mut view = Self {
             worker: hello.worker.clone(),
+            session_order: hello.order,
+            latest_start: hello.order.process_start,
             zone: hello.zone.clone(),
             capacity: hello.capacity,
             session: Some(session),
@@ -83,6 +92,16 @@
         view
     }
 
+    /// Returns whether a hello on `session` is that of a later session than the last one, or repeats that of the open one. The
+    /// starts of two processes don't show their order if the wall clock was set back between them. A process that seems to be the
+    /// earlier one is therefore accepted once no task of this entry can be at the agent.
+    pub(super) fn precedes(&self, session: SessionId, hello: &AgentHello) -> bool {
+        if hello.worker == self.worker {
+            return hello.order.number > self.session_order.number || self.session == Some(session);
+        }
+        hello.order.process_start > self.latest_start || (self.session.is_none() && self.outstanding == 0)
+    }
+
     /// Records a load report of the agent.
     pub fn record_load(&mut self, load: &LoadReport) {
         self.upstreams.clone_from(&load.upstreams);
@@ -107,6 +126,7 @@
 
     pub(super) fn record_reconnected(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello) {
         self.session = Some(session);
+        self.session_order = hello.order;
         self.last_received_at = now;
         self.lost_at = None;
         self.unused_from = None;
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -38,13 +38,20 @@
     Reconnected,
     /// The agent process has restarted; the value is the earlier incarnation, which has exited.
     Restarted(WorkerKey),
+    /// The agent has opened a later session. The hello says nothing of its tasks now.
+    Outdated,
 }
 
 impl FleetView {
-    /// Records an agent's hello on `session`. No job with the serial `unused_from` or a higher one has been accepted yet.
+    /// Records an agent's hello on `session`, unless it is that of an earlier session than the agent's last one. No job with the
+    /// serial `unused_from` or a higher one has been accepted yet.
     pub fn record_hello(&mut self, now: MonoTime, session: SessionId, hello: &AgentHello, unused_from: u64) -> HelloOutcome {
         let agent = &hello.worker.agent;
         let earlier = self.agents.get_mut(agent);
+        if earlier.as_ref().is_some_and(|view| !view.precedes(session, hello)) {
+            return HelloOutcome::Outdated;
+        }
+        let earlier_start = earlier.as_ref().map(|view| view.latest_start);
         self.version += 1;
         self.by_session.insert(session, agent.clone());
         if let Some(view) = earlier.filter(|view| view.worker == hello.worker) {
@@ -54,7 +61,8 @@
             view.joined_version = self.version;
             return HelloOutcome::Reconnected;
         }
-        let view = AgentView::new(now, session, hello, self.version);
+        let mut view = AgentView::new(now, session, hello, self.version);
+        view.latest_start = view.latest_start.max(earlier_start.unwrap_or_default());
         match self.agents.insert(agent.clone(), view) {
             Some(view) => {
                 self.retain_exited_incarnation(&view, unused_from);
--- a/crates/control/tests/support/simulation/mod.rs
+++ b/crates/control/tests/support/simulation/mod.rs
@@ -18,7 +18,7 @@
 use vanillacleat_control::gate::UpstreamAnnouncement;
 use vanillacleat_control::{CallId, ReplyId, SessionId};
 use vanillacleat_core::config::ConfigEdit;
-use vanillacleat_core::ids::{Incarnation, TaskKey, WorkerKey, ZoneName};
+use vanillacleat_core::ids::{Incarnation, ProcessStart, TaskKey, WorkerKey, ZoneName};
 use vanillacleat_core::job::{JobSpec, TaskDemand, TaskSpec};
 use vanillacleat_core::outcome::{JobAnswer, RefusalCode};
 use vanillacleat_core::settings::{GateSettings, PolicySettings};
@@ -376,6 +376,7 @@
     fn start_agent(&mut self, index: usize) {
         let options = AgentOptions {
             worker: WorkerKey { agent: format!("agent-{index}").parse().unwrap(), incarnation: Incarnation(self.rng.random()) },
+            process_start: ProcessStart(self.now.as_micros() / 1_000),
             zone: zone_name(index),
             capacity: TaskDemand { memory_mb: Megabytes(1_000), accelerators: 0 },
             entries: (0..self.options.entries).map(entry_address).collect(),
--- a/crates/core/src/frames.rs
+++ b/crates/core/src/frames.rs
@@ -8,6 +8,7 @@
 use crate::ids::{HomeKey, ServiceName, TaskKey, TeamName, UpstreamName, WorkerKey, ZoneName};
 use crate::job::{JobSpec, TaskDemand};
 use crate::outcome::{CallRefusal, JobAnswer, TaskOutcome};
+use crate::run_frames::SessionOrder;
 use crate::ticket::Ticket;
 use crate::units::{Generation, Millis, Revision};
 
@@ -42,6 +43,8 @@
 pub struct AgentHello {
     /// The agent and its incarnation.
     pub worker: WorkerKey,
+    /// The place of this session among all that the agent has opened.
+    pub order: SessionOrder,
     /// The agent's availability zone.
     pub zone: ZoneName,
     /// The worker's capacity.
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -144,7 +144,7 @@
     }
 
     fn publish_metrics(&self) {
-        let EntryCounters { dispatched, ended, bounced, reclaimed, cancelled, unwanted, echoes, configs, gossips, .. } =
+        let EntryCounters { dispatched, ended, bounced, reclaimed, cancelled, unwanted, outdated_hellos, echoes, configs, gossips, .. } =
             self.control.counters();
         let messages = [
             ("dispatch", dispatched),
@@ -153,6 +153,7 @@
             ("reclaim", reclaimed),
             ("cancel", cancelled),
             ("unwanted_result", unwanted),
+            ("outdated_hello", outdated_hellos),
             ("echo", echoes),
             ("config", configs),
             ("gossip", gossips),
