Keep the events that arrive before a daemon has connected its control thread

Cause: the control thread makes its first calls at its first tick. A reply that arrived before the starting thread had connected the event sink was dropped, and the control state waited for it for ever.

--- a/crates/daemon/src/process_handle.rs
+++ b/crates/daemon/src/process_handle.rs
@@ -1,6 +1,6 @@
 //! A running daemon: its control thread, its I/O runtime, and how it is stopped.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::JoinHandle;
 
 use crate::control_thread::{EventSender, PauseSwitch};
@@ -11,30 +11,39 @@
 #[derive(Debug)]
 pub struct EventSink<E> {
     sender: Arc<OnceLock<EventSender<E>>>,
+    /// The events that were sent before the sink was connected.
+    early_events: Arc<Mutex<Vec<E>>>,
 }
 
 impl<E> Clone for EventSink<E> {
     fn clone(&self) -> Self {
-        Self { sender: self.sender.clone() }
+        Self { sender: self.sender.clone(), early_events: self.early_events.clone() }
     }
 }
 
 impl<E> Default for EventSink<E> {
     fn default() -> Self {
-        Self { sender: Arc::default() }
+        Self { sender: Arc::default(), early_events: Arc::default() }
     }
 }
 
 impl<E> EventSink<E> {
-    /// Connects the sink to the control thread. Only the first call has an effect.
+    /// Connects the sink to the control thread, and sends the events that were sent before. Only the first call has an effect.
     pub fn set(&self, sender: EventSender<E>) {
+        let mut early_events = self.early_events.lock().expect("no holder of the lock panics");
+        early_events.drain(..).for_each(|event| sender.send(event));
         let _ = self.sender.set(sender);
     }
 
-    /// Sends an event. An event sent before [`Self::set`] is called is dropped.
+    /// Sends an event. An event sent before [`Self::set`] is called is kept until then.
     pub fn send(&self, event: E) {
         if let Some(sender) = self.sender.get() {
-            sender.send(event);
+            return sender.send(event);
+        }
+        let mut early_events = self.early_events.lock().expect("no holder of the lock panics");
+        match self.sender.get() {
+            Some(sender) => sender.send(event),
+            None => early_events.push(event),
         }
     }
 }
