Bind the ports of a local deployment when they are chosen

The stand-ins dropped the error of their servers, and the probe for a free port itself held ports of other copies for a moment. Change: the stand-ins, agents and the entries' HTTP servers bind port zero and return the address at which they listen. The mesh servers, whose addresses all entries must know beforehand, are bound first and their listeners handed to the entries. An agent that is started again gets a new port, and its upstream is announced there. free_port is gone. Changed tests: gateway_calls and worker_standin call the new start functions; their assertions are unchanged.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -40,10 +40,11 @@
         let (events, thread) = spawn_control_thread("agent-control", pause.clone(), || AgentInput::Event(AgentEvent::Tick), step)
             .change_context(DaemonError::Start)?;
         sink.set(events.clone());
-        runtime.block_on(http_api::start_server(settings.http_listen, events.clone())).change_context(DaemonError::Start)?;
-        log::info!("event=agent_started agent={} zone={} http={}", settings.id, settings.zone, settings.http_listen);
+        let http_server = http_api::start_server(settings.http_listen, events.clone());
+        let http_address = runtime.block_on(http_server).change_context(DaemonError::Start)?;
+        log::info!("event=agent_started agent={} zone={} http={http_address}", settings.id, settings.zone);
         let process = ProcessHandle::new(events, || AgentInput::Stop, pause, thread, runtime);
-        Ok(Self { http_address: settings.http_listen, process })
+        Ok(Self { http_address, process })
     }
 
     /// Returns a handle to the I/O runtime.
--- a/crates/agent/src/http_api.rs
+++ b/crates/agent/src/http_api.rs
@@ -17,8 +17,8 @@
 
 type Events = State<EventSender<AgentInput>>;
 
-/// Starts the server, which runs until the runtime is shut down.
-pub(crate) async fn start_server(address: SocketAddr, events: EventSender<AgentInput>) -> Result<(), ServerError> {
+/// Starts the server, which runs until the runtime is shut down. Returns the address at which it listens.
+pub(crate) async fn start_server(address: SocketAddr, events: EventSender<AgentInput>) -> Result<SocketAddr, ServerError> {
     let routes = routes![announce_upstream, withdraw_upstream, health, state, metrics];
     let server = rocket::custom(server_config(address)).manage(events).mount("/", routes).register("/", catchers![default_catcher]);
     launch_server(server).await
--- a/crates/cli/src/load/faults.rs
+++ b/crates/cli/src/load/faults.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use vanillacleat_agent::AgentDaemon;
 use vanillacleat_client::CallerClient;
 use vanillacleat_core::api::ChangeRequest;
 use vanillacleat_core::config::ConfigEdit;
@@ -64,7 +63,11 @@
         FaultKind::UpstreamBroken => {
             deployment.upstreams[index].set_faults(UpstreamFaults { is_broken: !is_end, ..UpstreamFaults::default() })
         }
-        FaultKind::AgentKill if *is_end => deployment.agents[index] = AgentDaemon::start(&deployment.agent_settings[index]).ok(),
+        FaultKind::AgentKill if *is_end => {
+            if let Err(error) = deployment.start_agent(index) {
+                log::error!("event=agent_not_restarted agent={index} cause={error:?}");
+            }
+        }
         FaultKind::AgentKill => drop(deployment.agents[index].take()),
         FaultKind::AgentPause => deployment.agents[index].iter().for_each(|agent| agent.pause().set(!is_end)),
         FaultKind::EntryKill => drop(deployment.entries[index].take()),
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -65,19 +65,21 @@
     }
 }
 
-/// Starts a server on the current runtime. Returns once it accepts connections, or an error if it can't start.
-pub async fn launch_server(server: Rocket<Build>) -> Result<(), ServerError> {
+/// Starts a server on the current runtime. Returns the address at which it listens once it accepts connections, or an error if it
+/// can't start. A server that is configured with port zero listens at a free port.
+pub async fn launch_server(server: Rocket<Build>) -> Result<SocketAddr, ServerError> {
     let (liftoff_sender, liftoff) = oneshot::channel();
     let liftoff_sender = Mutex::new(Some(liftoff_sender));
-    let report_liftoff = AdHoc::on_liftoff("listening", move |_| {
+    let report_liftoff = AdHoc::on_liftoff("listening", move |server| {
         Box::pin(async move {
+            let address = SocketAddr::new(server.config().address, server.config().port);
             let sender = liftoff_sender.lock().ok().and_then(|mut sender| sender.take());
-            sender.map(|sender| sender.send(()));
+            sender.map(|sender| sender.send(address));
         })
     });
     let server_task = tokio::spawn(server.attach(report_liftoff).launch());
     tokio::select! {
-        Ok(()) = liftoff => Ok(()),
+        Ok(address) = liftoff => Ok(address),
         result = server_task => match result {
             // Rocket's error panics if it is dropped before it was inspected. Calling `kind` counts as an inspection.
             Ok(Err(error)) => Err(ServerError(error.kind().to_string())),
--- a/crates/entry/src/http_api.rs
+++ b/crates/entry/src/http_api.rs
@@ -24,8 +24,8 @@
 type Reply<T> = Result<Json<T>, ProblemReply>;
 type JobBody = Result<JsonBody<JobSpec>, BodyError>;
 
-/// Starts the server, which runs until the runtime is shut down.
-pub(crate) async fn start_server(address: SocketAddr, events: EventSender<EntryInput>) -> Result<(), ServerError> {
+/// Starts the server, which runs until the runtime is shut down. Returns the address at which it listens.
+pub(crate) async fn start_server(address: SocketAddr, events: EventSender<EntryInput>) -> Result<SocketAddr, ServerError> {
     let jobs = routes![issue_tickets, submit_job, submit_named, query_job, cancel_job, run_request];
     let operators = routes![read_config, change_config, health, state, metrics];
     let server = rocket::custom(server_config(address)).manage(events);
--- a/crates/entry/src/mesh_server.rs
+++ b/crates/entry/src/mesh_server.rs
@@ -1,7 +1,5 @@
 //! The mesh server, which accepts sessions from agents and calls from other entries.
 
-use std::net::SocketAddr;
-
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use vanillacleat_core::frames::{Envelope, PeerCall, PeerReply};
@@ -12,9 +10,10 @@
 
 type Events = EventSender<EntryInput>;
 
-/// Starts the server, which runs until the runtime is shut down.
-pub(crate) async fn start_server(address: SocketAddr, events: Events) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+/// Starts the server on `listener`. It runs until the runtime is shut down.
+pub(crate) async fn start_server(listener: std::net::TcpListener, events: Events) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(listener)?;
     tokio::spawn(serve_listener(listener, move |stream| serve_stream(stream, events.clone())));
     Ok(())
 }
--- a/crates/etcd-gateway/tests/gateway_calls.rs
+++ b/crates/etcd-gateway/tests/gateway_calls.rs
@@ -9,10 +9,10 @@
 use vanillacleat_core::ticket::TicketSecret;
 use vanillacleat_core::units::{Generation, Revision};
 use vanillacleat_etcd_gateway::{PlatformClient, PlatformOptions};
-use vanillacleat_standin::{free_port, PlatformFaults, PlatformStandin};
+use vanillacleat_standin::{PlatformFaults, PlatformStandin};
 
 async fn start_store() -> (PlatformStandin, std::sync::Arc<PlatformClient>) {
-    let store = PlatformStandin::start(free_port()).await.unwrap();
+    let store = PlatformStandin::start().await.unwrap();
     let addresses = vec![SmolStr::new(format!("http://{}", store.address))];
     let client = PlatformClient::new(PlatformOptions { addresses, call_timeout: Duration::from_secs(5), ..PlatformOptions::default() });
     while client.execute(PlatformOp::ReadConfig).await == PlatformReply::Failed {
@@ -85,7 +85,7 @@
 
 #[tokio::test]
 async fn calls_over_the_rate_limit_are_not_sent() {
-    let store = PlatformStandin::start(free_port()).await.unwrap();
+    let store = PlatformStandin::start().await.unwrap();
     let addresses = vec![SmolStr::new(format!("http://{}", store.address))];
     let client = PlatformClient::new(PlatformOptions { addresses, calls_per_second: 0.0, ..PlatformOptions::default() });
     assert_eq!(client.execute(PlatformOp::ReadConfig).await, PlatformReply::Failed);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,14 +5,13 @@
 #![warn(missing_docs)]
 
 mod platform;
-mod ports;
+mod standin_server;
 mod start_log;
 mod store;
 mod upstream;
 mod worker_model;
 
 pub use platform::{PlatformFaults, PlatformStandin};
-pub use ports::free_port;
 pub use start_log::{StartLog, StartRecord};
 pub use upstream::{TaskScript, UpstreamFaults, UpstreamStandin, STATUS_FAILED};
 pub use worker_model::WorkerModel;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,7 +10,9 @@
 use rocket::serde::json::Json;
 use rocket::{post, routes, Shutdown, State};
 use serde_json::{json, Value};
+use vanillacleat_daemon::ServerError;
 
+use crate::standin_server::{standin_config, start_server};
 use crate::store::KeyStore;
 
 /// The faults that the stand-in injects.
@@ -46,14 +48,11 @@
 }
 
 impl PlatformStandin {
-    /// Starts a server that listens at `address`. It runs until it is stopped or the runtime shuts down.
-    pub async fn start(address: SocketAddr) -> Result<Self, rocket::Error> {
+    /// Starts a server at a free loopback port. It runs until it is stopped or the runtime shuts down.
+    pub async fn start() -> Result<Self, ServerError> {
         let state = Arc::new(StandinState::default());
-        let config = rocket::Config { address: address.ip(), port: address.port(), ..server_config() };
-        let server = rocket::custom(config).manage(state.clone()).mount("/v3", routes![range, put, txn, grant, keep_alive]);
-        let server = server.ignite().await?;
-        let shutdown = server.shutdown();
-        tokio::spawn(server.launch());
+        let server = rocket::custom(standin_config()).manage(state.clone());
+        let (address, shutdown) = start_server(server.mount("/v3", routes![range, put, txn, grant, keep_alive])).await?;
         Ok(Self { address, state, shutdown })
     }
 
@@ -78,17 +77,6 @@
     }
 }
 
-/// Returns a server configuration that disables logging and signal handling.
-pub(crate) fn server_config() -> rocket::Config {
-    rocket::Config {
-        log_level: rocket::config::LogLevel::Off,
-        cli_colors: false,
-        shutdown: rocket::config::Shutdown { ctrlc: false, signals: Default::default(), ..Default::default() },
-        workers: 2,
-        ..rocket::Config::release_default()
-    }
-}
-
 impl StandinState {
     /// Counts a call, applies the faults that take effect before it is executed, and removes expired leases.
     async fn begin_call(&self) -> Result<PlatformFaults, Status> {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -9,8 +9,9 @@
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::{post, routes, Shutdown, State};
 use serde::{Deserialize, Serialize};
+use vanillacleat_daemon::ServerError;
 
-use crate::platform::server_config;
+use crate::standin_server::{standin_config, start_server};
 use crate::start_log::{StartLog, StartRecord};
 
 /// HTTP status of a failed task.
@@ -62,8 +63,8 @@
 }
 
 impl UpstreamStandin {
-    /// Starts an upstream that listens at `address`. It runs until it is stopped or the runtime shuts down.
-    pub async fn start(address: SocketAddr, name: &str, zone: &str, start_log: StartLog) -> Result<Self, rocket::Error> {
+    /// Starts an upstream at a free loopback port. It runs until it is stopped or the runtime shuts down.
+    pub async fn start(name: &str, zone: &str, start_log: StartLog) -> Result<Self, ServerError> {
         let state = Arc::new(UpstreamState {
             name: name.to_owned(),
             zone: zone.to_owned(),
@@ -71,11 +72,8 @@
             faults: Mutex::default(),
             running: AtomicUsize::new(0),
         });
-        let config = rocket::Config { address: address.ip(), port: address.port(), ..server_config() };
-        let server = rocket::custom(config).manage(state.clone()).mount("/", routes![run_task]);
-        let server = server.ignite().await?;
-        let shutdown = server.shutdown();
-        tokio::spawn(server.launch());
+        let server = rocket::custom(standin_config()).manage(state.clone()).mount("/", routes![run_task]);
+        let (address, shutdown) = start_server(server).await?;
         Ok(Self { address, state, shutdown })
     }
 
