Add the time for which a host was suspended to the lease of its worker

Cause: the worker measures its lease on the host's steady clock, which stands still during a suspension, and the agent on the boot clock, which does not. The agent's estimate of the worker's clock was too high as well, so that its first calls after a suspension asked for leases that were longer than meant by the time of the suspension. Change: the agent compares both clocks at each step. The bound of the worker's lease and the estimate of its clock are moved by the difference (decision 0016). Silence without a suspension counts as before, so that tasks of lost workers are placed again no later. Changed tests: AgentBench::advance_suspended tells the agent what its process reads from the clocks; advance_unnoticed does not. lease_after_a_suspension_is_not_longer_than_before runs with both, so that the answers still bound the estimate where no clock shows the suspension. No assertion was changed.

--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use metrics::Histogram;
+use rustix::time::ClockId;
 use vanillacleat_core::units::MonoTime;
 
+use crate::host_clock::read_clock;
+
 /// Interval between the tick events, which trigger periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -177,6 +180,5 @@
 /// Returns the time since the host booted. It includes the time that the host was suspended, because leases expire during a
 /// suspension too.
 fn time_since_boot() -> Duration {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+    read_clock(ClockId::Boottime)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod control_thread;
+mod host_clock;
 mod http_server;
 mod logging;
 mod metrics_page;
@@ -18,6 +19,7 @@
 mod signals;
 
 pub use control_thread::{spawn_batch_thread, spawn_control_thread, ControlStep, EventBatch, EventSender, PauseSwitch};
+pub use host_clock::SuspensionWatch;
 pub use http_server::{launch_server, server_config, ProblemReply, ServerError, BODY_BYTES_MAX};
 pub use logging::{finish_logging, init_command_logging, init_logging};
 pub use metrics_page::{install_metrics, render_metrics};
--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -14,7 +14,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_daemon::{ControlStep, EventSink};
+use vanillacleat_daemon::{ControlStep, EventSink, SuspensionWatch};
 use vanillacleat_runs::agent::{RunnerAction, RunnerControl, RunnerEvent, WorkerCall, WorkerReply};
 use vanillacleat_wire::{run_session, session_queue, OpenSession, SessionQueue};
 
@@ -61,6 +61,7 @@
     worker_port: WorkerPort,
     session_queues: HashMap<SessionId, SessionQueue<RunFrame>>,
     next_session: u64,
+    suspension_watch: SuspensionWatch,
     runs_at_worker: Gauge,
     sessions: Gauge,
     /// Time from a start call until the worker has answered it.
@@ -76,6 +77,7 @@
             worker_port,
             session_queues: HashMap::new(),
             next_session: 0,
+            suspension_watch: SuspensionWatch::default(),
             runs_at_worker: metrics::gauge!("runs_at_worker"),
             sessions: metrics::gauge!("runs_sessions"),
             start_time: metrics::histogram!("runs_worker_start_seconds"),
@@ -103,7 +105,10 @@
         if let RunnerEvent::SessionClosed { session: Some(session), .. } = &event {
             self.session_queues.remove(session);
         }
-        let actions = self.control.handle(now, event);
+        // Looked for after `now` was read, so that no event that is dated after a suspension is handled before it is known.
+        let suspended = self.suspension_watch.detect().map(RunnerEvent::HostSuspended);
+        let events = suspended.into_iter().chain([event]);
+        let actions: Vec<RunnerAction> = events.flat_map(|event| self.control.handle(now, event)).collect();
         let is_drained = actions.iter().any(|action| matches!(action, RunnerAction::Drained));
         actions.into_iter().for_each(|action| self.execute(action));
         self.runs_at_worker.set(self.control.run_table().len() as f64);
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -86,6 +86,9 @@
         /// The result of the call.
         reply: WorkerReply,
     },
+    /// The host was suspended for this time since the event before, or since the start. The clock of the worker, which is on the same
+    /// host, stood still, unlike the times that come with events.
+    HostSuspended(Duration),
     /// The entries were read from the store or the settings.
     EntriesRead(Vec<EntryRecord>),
     /// The process was asked to drain and exit.
@@ -203,6 +206,7 @@
             RunnerEvent::WorkerHeartbeat(notice) => self.handle_heartbeat(notice),
             RunnerEvent::WorkerDeregistered(worker) => self.handle_deregistration(&worker),
             RunnerEvent::Replied { incarnation_number, reply } => self.handle_reply(incarnation_number, reply),
+            RunnerEvent::HostSuspended(duration) => self.record_suspension(duration),
             RunnerEvent::EntriesRead(entries) => self.add_entries(entries),
             RunnerEvent::Drain => self.start_drain(),
             RunnerEvent::Tick => {}
@@ -283,6 +287,18 @@
         }
     }
 
+    /// Records that the worker's clock stood still, so that the leases that it was granted last that much longer.
+    fn record_suspension(&mut self, duration: Duration) {
+        if let Some(incarnation) = &mut self.incarnation {
+            incarnation.clock.record_suspension(duration);
+        }
+        if self.lease_bound > MonoTime::ZERO {
+            self.lease_bound = self.lease_bound + duration;
+        }
+        let lease_left = self.worker_lease_left().as_millis();
+        self.log(format!("event=host_suspended ms={} runs={} lease_left_ms={lease_left}", duration.as_millis(), self.runs.len()));
+    }
+
     /// Raises the fencing token after the worker rejected it, because an earlier agent of this host used a higher one.
     fn raise_fencing_token(&mut self) {
         self.fencing_token += FENCING_TOKEN_STEP;
--- a/crates/runs/src/remote_clock.rs
+++ b/crates/runs/src/remote_clock.rs
@@ -37,6 +37,11 @@
         self.record(now, clock);
     }
 
+    /// Records that the other clock stood still for `duration` since the reading, while this one went on.
+    pub fn record_suspension(&mut self, duration: Duration) {
+        self.reading = self.reading.map(|(at, clock)| (at + duration, clock));
+    }
+
     /// Returns a value that the clock has certainly reached at `now`, or `None` before the first reading.
     pub fn at(&self, now: MonoTime) -> Option<u64> {
         let (at, clock) = self.reading?;
--- a/crates/runs/tests/silent_worker.rs
+++ b/crates/runs/tests/silent_worker.rs
@@ -4,9 +4,10 @@
 use rstest::rstest;
 use vanillacleat_core::run_frames::{OrderFrame, OrderedRun, RunOrders};
 use vanillacleat_runs::agent::{RunnerEvent, WorkerCall};
+use vanillacleat_runs::LeaseTerms;
 
 mod support;
-use support::agent_bench::{run, AgentBench};
+use support::agent_bench::{run, AgentBench, SentCall};
 
 fn is_start(call: &WorkerCall) -> bool {
     matches!(call, WorkerCall::Start { .. })
@@ -77,11 +78,13 @@
 
 // Guards against leases that are longer than meant after the worker's clock stood still: the estimate of it is then no lower
 // bound any more.
-#[test]
-fn lease_after_a_suspension_is_not_longer_than_before() {
+#[rstest]
+#[case::noticed(AgentBench::advance_suspended)]
+#[case::unnoticed(AgentBench::advance_unnoticed)]
+fn lease_after_a_suspension_is_not_longer_than_before(#[case] suspend: fn(&mut AgentBench, u64)) {
     let mut bench = bench_with_unsent_calls(100);
     bench.advance(2_310);
-    bench.advance_suspended(3_310);
+    suspend(&mut bench, 3_310);
     bench.advance(4_000);
     assert!(bench.is_running(run(0, 1)) || !bench.outcomes(run(0, 1)).is_empty());
     bench.order_start(1, run(2, 1));
@@ -91,3 +94,20 @@
     bench.advance_paused(bench.now() + 408 + 50);
     assert!(!bench.is_running(run(2, 1)), "the agent is silent for longer than a lease");
 }
+
+// Guards against a first call after a suspension that asks for a lease which is longer than meant by the time of the suspension.
+#[test]
+fn first_lease_after_a_suspension_is_not_longer_than_meant() {
+    let mut bench = bench_with_unsent_calls(100);
+    bench.advance(2_310);
+    bench.take_calls();
+    bench.advance_suspended(2_800);
+    bench.order_start(1, run(2, 1));
+    let lease_end = |sent: SentCall| match sent.call {
+        WorkerCall::Start { lease_end, .. } | WorkerCall::LeasePoll { lease_end: Some(lease_end), .. } => Some(lease_end),
+        _ => None,
+    };
+    let lease_ends: Vec<u64> = bench.take_calls().into_iter().filter_map(lease_end).collect();
+    let latest = bench.worker.clock(bench.worker_time()) + LeaseTerms::default().worker_lease.as_millis() as u64;
+    assert!(!lease_ends.is_empty() && lease_ends.iter().all(|end| *end <= latest), "{lease_ends:?}, {latest} at the latest");
+}
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -266,8 +266,17 @@
         replies
     }
 
-    /// Advances the time to `end` while the host is suspended: neither the worker's clock nor its runs advance.
+    /// Advances the time to `end` while the host is suspended: neither the worker's clock nor its runs advance. The agent's process
+    /// notices it in its first step.
     pub fn advance_suspended(&mut self, end: u64) {
+        let duration = Duration::from_millis(end - self.now);
+        self.advance_unnoticed(end);
+        self.deliver(RunnerEvent::HostSuspended(duration));
+    }
+
+    /// Advances the time to `end` while the worker and its clock stand still and the agent's process is paused, without a sign of it in
+    /// the clocks of the host.
+    pub fn advance_unnoticed(&mut self, end: u64) {
         self.suspended += end - self.now;
         self.now = end;
     }
