Hold back the end of a run whose start may still be on its way to its worker

Callers may see: a task runs twice. Cause: the end of the worker's lease proves that it runs nothing, but not that it receives nothing any more. Calls may be executed seconds later, and a new incarnation has a new clock and has seen no fencing token. Change: a run with a start call that is unaccounted for is held back after the lease has ended until a list shows what became of it, for leases.start_transit_ms (2,000 by default) at most, and is counted as start_unresolved then. Until the worker answers, no stops are sent for it. Confirmed runs end as before. A start for which no connection could be opened counts as not sent, so that the tasks of a crashed worker are placed again as soon as before (decision 0016).

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -193,6 +193,8 @@
     LaterList,
     /// The worker answered no polls until its lease must have ended.
     WorkerSilent,
+    /// The same, and no list showed within the transit time of a call what became of a start that was not answered.
+    StartUnresolved,
     /// At an entry: a new incarnation of the agent opened a session.
     AgentRestarted,
     /// At an entry: the agent opened a session and did not name the run as unsettled.
@@ -213,6 +215,7 @@
             Self::OutdatedUnlisted => "outdated_unlisted",
             Self::LaterList => "later_list",
             Self::WorkerSilent => "worker_silent",
+            Self::StartUnresolved => "start_unresolved",
             Self::AgentRestarted => "agent_restarted",
             Self::NotUnsettled => "not_unsettled",
             Self::AgentExpired => "agent_expired",
--- a/crates/runs-daemon/src/run_settings.rs
+++ b/crates/runs-daemon/src/run_settings.rs
@@ -23,11 +23,20 @@
     pub stop_ms: Millis,
     /// Time from the request to exit until the process is killed, in milliseconds.
     pub grace_ms: Millis,
+    /// Time after the end of a silent worker's lease for which the end of a run is held back because its start was not answered, in
+    /// milliseconds. A later incarnation of the worker may execute the start within that time.
+    pub start_transit_ms: Millis,
 }
 
 impl Default for LeaseSettings {
     fn default() -> Self {
-        Self { resubmit_ms: Millis(1_300), hold_max_ms: Millis(1_000), stop_ms: Millis(50), grace_ms: Millis(6_000) }
+        Self {
+            resubmit_ms: Millis(1_300),
+            hold_max_ms: Millis(1_000),
+            stop_ms: Millis(50),
+            grace_ms: Millis(6_000),
+            start_transit_ms: Millis::from_duration(LeaseTerms::default().start_transit_max),
+        }
     }
 }
 
@@ -39,6 +48,7 @@
         check_range("leases.hold_max_ms", self.hold_max_ms, 250, 600_000)?;
         check_range("leases.stop_ms", self.stop_ms, 1, 10_000)?;
         check_range("leases.grace_ms", self.grace_ms, 1_000, 600_000)?;
+        check_range("leases.start_transit_ms", self.start_transit_ms, 1, 60_000)?;
         if self.lease_terms().can_be_renewed() {
             return Ok(());
         }
@@ -48,7 +58,8 @@
 
     /// Returns the durations of the leases.
     pub fn lease_terms(&self) -> LeaseTerms {
-        LeaseTerms::new(self.resubmit_ms.to_duration(), self.hold_max_ms.to_duration(), self.stop_ms.to_duration())
+        let terms = LeaseTerms::new(self.resubmit_ms.to_duration(), self.hold_max_ms.to_duration(), self.stop_ms.to_duration());
+        LeaseTerms { start_transit_max: self.start_transit_ms.to_duration(), ..terms }
     }
 
     /// Returns the maximum time that a draining process waits for its open jobs or runs.
--- a/crates/runs/src/agent/calls.rs
+++ b/crates/runs/src/agent/calls.rs
@@ -51,7 +51,9 @@
     pub fn is_answer(&self) -> bool {
         !matches!(
             self,
-            Self::Start(_, StartReply::Unanswered) | Self::Stop(_, StopReply::Unanswered) | Self::LeasePoll(_, LeasePollReply::Unanswered)
+            Self::Start(_, StartReply::NotSent | StartReply::Unanswered)
+                | Self::Stop(_, StopReply::Unanswered)
+                | Self::LeasePoll(_, LeasePollReply::Unanswered)
         )
     }
 }
@@ -67,6 +69,8 @@
     Shed,
     /// Another incarnation of the worker answered and did not start the run.
     OtherIncarnation,
+    /// No connection to the worker could be opened, so that it never receives the call.
+    NotSent,
     /// No answer arrived; the worker may still start the run.
     Unanswered,
 }
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -124,6 +124,8 @@
     pub open_calls: u32,
     /// Whether a list has shown the run, and so the incarnation that runs it.
     pub is_listed: bool,
+    /// Whether the worker was given up as silent, and the end of the run is held back because a start may still be executed.
+    pub is_held: bool,
 }
 
 /// The runs ordered at one worker. A run occupies capacity at the worker from its start call until its end is known.
@@ -280,6 +282,14 @@
     pub fn request_stop_again(&mut self, now: MonoTime) {
         self.state = RunState::Stopping { call_at: now, taken_at: None, is_unanswered: false };
         self.stop_cause = Some(StopCause::IncarnationEnded);
+        self.is_held = false;
+    }
+
+    /// Marks the run as held back until `held_until`. No stop is sent until then unless the worker answers.
+    pub fn hold(&mut self, held_until: MonoTime) {
+        self.state = RunState::Stopping { call_at: held_until, taken_at: None, is_unanswered: true };
+        self.stop_cause = Some(StopCause::Unanswered);
+        self.is_held = true;
     }
 
     /// Records that the worker can't start the run from now on, but may have started it before. The next lease polls
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -5,6 +5,7 @@
 mod lease_polls;
 mod orders;
 mod reporting;
+mod silence;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -254,11 +255,6 @@
         })
     }
 
-    fn finish_all_runs(&mut self, outcome: RunOutcome, sign: EndSign) {
-        let runs = self.runs.select(|_| true);
-        runs.into_iter().for_each(|run| self.finish_run(&run, outcome, sign));
-    }
-
     fn handle_reply(&mut self, incarnation_number: u64, reply: WorkerReply) {
         if incarnation_number != self.incarnation_number || self.incarnation.is_none() {
             return;
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -180,7 +180,9 @@
             self.former.get_or_insert((worker, born));
         }
         let now = self.now;
-        self.runs.iter_mut().for_each(|(_, record)| record.request_stop_again(now));
+        // Runs that are held back are stopped when the worker answers.
+        let stopped = self.runs.iter_mut().filter(|(_, record)| !record.is_held);
+        stopped.for_each(|(_, record)| record.request_stop_again(now));
         if let Some(successor) = self.successor.take() {
             self.begin_incarnation(successor);
         }
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -79,7 +79,7 @@
     /// running something that this agent doesn't know), it may be running something that this agent started, or an end
     /// has to be acknowledged.
     pub(super) fn poll_lease(&mut self) {
-        self.end_lapsed_runs();
+        self.end_silent_runs();
         let Some(incarnation) = &self.incarnation else {
             return;
         };
@@ -113,24 +113,6 @@
         self.call_worker(WorkerCall::LeasePoll { number, lease_end, observed, wait });
     }
 
-    /// Ends all runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended. A
-    /// worker stops all runs by itself when its lease ends.
-    fn end_lapsed_runs(&mut self) {
-        let is_answering = self.incarnation.is_some() && self.polls.failures == 0;
-        if is_answering || self.now < self.lease_bound || !self.runs.has_runs_at_worker() {
-            return;
-        }
-        let evidence = self.evidence(EndSign::WorkerSilent);
-        self.log(format!("event=worker_silent failures={} runs={} {evidence}", self.polls.failures, self.runs.len()));
-        if let Some(incarnation) = &mut self.incarnation {
-            incarnation.is_settled = false;
-        }
-        // Starts that are still in transit are rejected after the next call.
-        self.fencing_token += 1;
-        self.former = None;
-        self.finish_all_runs(RunOutcome::Lost, EndSign::WorkerSilent);
-    }
-
     pub(super) fn handle_poll_reply(&mut self, number: u64, reply: LeasePollReply) {
         let Some(PendingPoll { sent_at, .. }) = self.polls.pending.remove(&number) else {
             return;
@@ -151,6 +133,7 @@
         if self.incarnation.as_ref().is_some_and(|incarnation| list.born != 0 && list.born != incarnation.notice.born) {
             return self.handle_list_of_other(list);
         }
+        self.stop_held_runs();
         self.end_former_runs();
         let now = self.now;
         let Some(incarnation) = &mut self.incarnation else {
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -90,6 +90,7 @@
             stop_calls: 0,
             open_calls: 0,
             is_listed: false,
+            is_held: false,
         };
         if self.runs.add(start.run, record) && !may_start {
             self.finish_run(&start.run, RunOutcome::Closed, EndSign::NeverSent);
@@ -258,7 +259,7 @@
             StartReply::Shed if self.is_first_start_call(&run) => self.finish_run(&run, RunOutcome::Shed, EndSign::Rejected),
             StartReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::START_MISDIRECTED),
             // The start is sent again or abandoned by `retry_starts`.
-            StartReply::Shed | StartReply::Unanswered => {}
+            StartReply::Shed | StartReply::NotSent | StartReply::Unanswered => {}
         }
     }
 
--- a/crates/runs/src/lease_terms.rs
+++ b/crates/runs/src/lease_terms.rs
@@ -14,6 +14,8 @@
 const SESSION_LEASE_MAX: Duration = Duration::from_millis(400);
 /// Minimum lease that can be renewed in time by a process that gets only a small share of a core.
 const LEASE_MIN: Duration = Duration::from_millis(200);
+/// Default of the time within which a call to a worker that was not answered is executed, if at all.
+const START_TRANSIT_MAX: Duration = Duration::from_millis(2_000);
 /// Allowance for timers that fire late between the end of a lease and the next step.
 const TIMER_SLACK: Duration = Duration::from_millis(100);
 
@@ -28,6 +30,9 @@
     pub stop_timeout: Duration,
     /// Maximum lease that a worker grants, whatever is asked for.
     pub worker_lease_max: Duration,
+    /// Time after the end of a silent worker's lease for which an unanswered start may still be executed by a later incarnation. The
+    /// run counts as ended after that.
+    pub start_transit_max: Duration,
 }
 
 impl LeaseTerms {
@@ -40,7 +45,7 @@
         let budget = resubmit_after.saturating_sub(stop_timeout + TIMER_SLACK);
         let worker_lease = WORKER_LEASE_MAX.min(worker_lease_max * 4 / 5).min(budget / 2 * CLOCK_RATE_PERCENT_MIN / 100);
         let session_lease = SESSION_LEASE_MAX.min(budget.saturating_sub(max_elapsed(worker_lease)));
-        Self { worker_lease, session_lease, stop_timeout, worker_lease_max }
+        Self { worker_lease, session_lease, stop_timeout, worker_lease_max, start_transit_max: START_TRANSIT_MAX }
     }
 
     /// Returns whether both leases are long enough to be renewed in time.
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -67,6 +67,8 @@
     pub worker: WorkerModel,
     /// Selects the calls that are lost: the agent sees them time out.
     pub is_lost: fn(&WorkerCall) -> bool,
+    /// Whether the worker's process is gone: connections are refused, and no call is sent.
+    pub refuses_connections: bool,
     /// Run time of the runs that start from now on.
     pub run_time: Duration,
     /// The calls that were lost, for a test to execute later.
@@ -127,6 +129,7 @@
             agent: RunnerControl::new(options),
             worker: WorkerModel::new(MonoTime::ZERO, WORKER, BORN, capacity),
             is_lost: |_| false,
+            refuses_connections: false,
             run_time: RUN_TIME,
             lost_calls: Vec::new(),
             answering: BTreeSet::from([SessionId(1), SessionId(2)]),
@@ -350,6 +353,14 @@
 
     fn execute_new_calls(&mut self) {
         for sent in std::mem::take(&mut self.new_calls) {
+            if self.refuses_connections {
+                let reply = match &sent.call {
+                    WorkerCall::Start { run, .. } => WorkerReply::Start(*run, StartReply::NotSent),
+                    call => unanswered(call),
+                };
+                self.reply(&sent, reply);
+                continue;
+            }
             if (self.is_lost)(&sent.call) {
                 self.lost_calls.push(sent.clone());
                 self.failing_calls.push(sent);
--- a/crates/runs/tests/worker_loss.rs
+++ b/crates/runs/tests/worker_loss.rs
@@ -276,3 +276,51 @@
     bench.advance(300 + 958);
     assert!(!bench.is_running(run(0, 1)), "the entry of session 1 may have placed the run again");
 }
+
+// Guards against tasks of a worker that is lost for good, which are placed again later than its lease requires: the ends of runs that
+// it had confirmed are held back by nothing, nor are those of starts that no connection carried to it.
+#[test]
+fn runs_of_a_lost_worker_end_with_its_lease() {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(2_000);
+    assert!(bench.is_running(run(0, 1)));
+    bench.refuses_connections = true;
+    bench.order_start(1, run(1, 1));
+    bench.advance(2_000 + 150 + 520);
+    let reported = |run| bench.ends.iter().find(|(_, _, end)| end.run == run).map(|(_, at, end)| (*at, end.outcome));
+    assert_eq!(reported(run(0, 1)).map(|(_, outcome)| outcome), Some(RunOutcome::Lost));
+    assert_eq!(reported(run(0, 1)), reported(run(1, 1)));
+}
+
+// Guards against a run that is never reported as ended because its start was not answered and its worker does not return.
+#[test]
+fn unanswered_start_of_a_lost_worker_ends_after_its_transit_time() {
+    let mut bench = AgentBench::new();
+    bench.is_lost = |_| true;
+    bench.order_start(1, run(0, 1));
+    bench.advance(20 + 125 + 520 + 1_980);
+    assert_eq!(bench.outcomes(run(0, 1)), vec![]);
+    bench.advance(20 + 150 + 520 + 2_020);
+    assert_eq!(bench.outcomes(run(0, 1)), vec![RunOutcome::Lost]);
+    let line = bench.log_lines.iter().rfind(|(_, line)| line.starts_with("event=run_ended")).expect("the end is logged");
+    assert!(line.1.contains("evidence=start_unresolved"), "{line:?}");
+}
+
+// Guards against a run whose end is held back for longer than its worker's silence, or whose start is executed after its end.
+#[test]
+fn unanswered_start_of_a_worker_that_answers_again_is_stopped_there() {
+    let mut bench = AgentBench::new();
+    bench.is_lost = |_| true;
+    bench.order_start(1, run(0, 1));
+    bench.advance(1_000);
+    let start = bench.lost_calls[0].clone();
+    bench.is_lost = |_| false;
+    bench.advance(1_250);
+    assert_eq!(bench.outcomes(run(0, 1)).len(), 1, "its worker has shown that it does not run");
+    bench.execute(&start);
+    assert!(!bench.is_running(run(0, 1)));
+    bench.order_start(1, run(1, 1));
+    bench.advance(1_300);
+    assert!(bench.is_running(run(1, 1)), "the worker accepts starts again");
+}
