--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,12 +1,13 @@
 //! Starting and stopping an agent.
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::runtime::Handle;
 use vanillacleat_control::agent::{AgentControl, AgentEvent, AgentOptions};
-use vanillacleat_core::ids::{Incarnation, WorkerKey};
+use vanillacleat_core::ids::{Incarnation, ProcessStart, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::settings::AgentSettings;
 use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal};
@@ -39,10 +40,11 @@
         let (events, thread) = spawn_control_thread("agent-control", pause.clone(), || AgentInput::Event(AgentEvent::Tick), step)
             .change_context(DaemonError::Start)?;
         sink.set(events.clone());
-        runtime.block_on(http_api::start_server(settings.http_listen, events.clone())).change_context(DaemonError::Start)?;
-        log::info!("event=agent_started agent={} zone={} http={}", settings.id, settings.zone, settings.http_listen);
+        let http_server = http_api::start_server(settings.http_listen, events.clone());
+        let http_address = runtime.block_on(http_server).change_context(DaemonError::Start)?;
+        log::info!("event=agent_started agent={} zone={} http={http_address}", settings.id, settings.zone);
         let process = ProcessHandle::new(events, || AgentInput::Stop, pause, thread, runtime);
-        Ok(Self { http_address: settings.http_listen, process })
+        Ok(Self { http_address, process })
     }
 
     /// Returns a handle to the I/O runtime.
@@ -70,6 +72,7 @@
 fn control_options(settings: &AgentSettings) -> AgentOptions {
     AgentOptions {
         worker: WorkerKey { agent: settings.id.clone(), incarnation: Incarnation(rand::random()) },
+        process_start: ProcessStart(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64)),
         zone: settings.zone.clone(),
         capacity: TaskDemand { memory_mb: settings.capacity.memory_mb, accelerators: settings.capacity.accelerators },
         entries: settings.entries.iter().map(|address| -> SmolStr { address.to_smolstr() }).collect(),
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -6,6 +6,7 @@
 mod lease_polls;
 mod orders;
 mod reporting;
+mod silence;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -88,6 +89,9 @@
         /// The result of the call.
         reply: WorkerReply,
     },
+    /// The host was suspended for this time since the event before, or since the start. The clock of the worker, which is on the same
+    /// host, stood still, unlike the times that come with events.
+    HostSuspended(Duration),
     /// The entries were read from the store or the settings.
     EntriesRead(Vec<EntryRecord>),
     /// The process was asked to drain and exit.
@@ -208,6 +212,7 @@
             RunnerEvent::WorkerHeartbeat(notice) => self.handle_heartbeat(notice),
             RunnerEvent::WorkerDeregistered(worker) => self.handle_deregistration(&worker),
             RunnerEvent::Replied { incarnation_number, reply } => self.handle_reply(incarnation_number, reply),
+            RunnerEvent::HostSuspended(duration) => self.record_suspension(duration),
             RunnerEvent::EntriesRead(entries) => self.add_entries(entries),
             RunnerEvent::Drain => self.start_drain(),
             RunnerEvent::Tick => {}
@@ -264,11 +269,6 @@
         })
     }
 
-    fn finish_all_runs(&mut self, outcome: RunOutcome, sign: EndSign) {
-        let runs = self.runs.select(|_| true);
-        runs.into_iter().for_each(|run| self.finish_run(&run, outcome, sign));
-    }
-
     fn handle_reply(&mut self, incarnation_number: u64, reply: WorkerReply) {
         if incarnation_number != self.incarnation_number || self.incarnation.is_none() {
             return;
@@ -299,6 +299,18 @@
         }
     }
 
+    /// Records that the worker's clock stood still, so that the leases that it was granted last that much longer.
+    fn record_suspension(&mut self, duration: Duration) {
+        if let Some(incarnation) = &mut self.incarnation {
+            incarnation.clock.record_suspension(duration);
+        }
+        if self.lease_bound > MonoTime::ZERO {
+            self.lease_bound = self.lease_bound + duration;
+        }
+        let lease_left = self.worker_lease_left().as_millis();
+        self.log(format!("event=host_suspended ms={} runs={} lease_left_ms={lease_left}", duration.as_millis(), self.runs.len()));
+    }
+
     /// Raises the fencing token after the worker rejected it, because an earlier agent of this host used a higher one.
     fn raise_fencing_token(&mut self) {
         self.fencing_token += FENCING_TOKEN_STEP;
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -68,6 +68,8 @@
     pub worker: WorkerModel,
     /// Selects the calls that are lost: the agent sees them time out.
     pub is_lost: fn(&WorkerCall) -> bool,
+    /// Whether the worker's process is gone: connections are refused, and no call is sent.
+    pub refuses_connections: bool,
     /// Run time of the runs that start from now on.
     pub run_time: Duration,
     /// The calls that were lost, for a test to execute later.
@@ -130,6 +132,7 @@
             agent: RunnerControl::new(options),
             worker: WorkerModel::new(MonoTime::ZERO, WORKER, BORN, capacity),
             is_lost: |_| false,
+            refuses_connections: false,
             run_time: RUN_TIME,
             lost_calls: Vec::new(),
             holds_calls: false,
@@ -279,8 +282,17 @@
         replies
     }
 
-    /// Advances the time to `end` while the host is suspended: neither the worker's clock nor its runs advance.
+    /// Advances the time to `end` while the host is suspended: neither the worker's clock nor its runs advance. The agent's process
+    /// notices it in its first step.
     pub fn advance_suspended(&mut self, end: u64) {
+        let duration = Duration::from_millis(end - self.now);
+        self.advance_unnoticed(end);
+        self.deliver(RunnerEvent::HostSuspended(duration));
+    }
+
+    /// Advances the time to `end` while the worker and its clock stand still and the agent's process is paused, without a sign of it in
+    /// the clocks of the host.
+    pub fn advance_unnoticed(&mut self, end: u64) {
         self.suspended += end - self.now;
         self.now = end;
     }
@@ -354,6 +366,14 @@
 
     fn execute_new_calls(&mut self) {
         for sent in std::mem::take(&mut self.new_calls) {
+            if self.refuses_connections {
+                let reply = match &sent.call {
+                    WorkerCall::Start { run, .. } => WorkerReply::Start(*run, StartReply::NotSent),
+                    call => unanswered(call),
+                };
+                self.reply(&sent, reply);
+                continue;
+            }
             if (self.is_lost)(&sent.call) {
                 self.lost_calls.push(sent.clone());
                 self.failing_calls.push(sent);
