--- a/crates/runs/src/entry/worker_speeds.rs
+++ b/crates/runs/src/entry/worker_speeds.rs
@@ -101,6 +101,11 @@
     }
 }
 
+impl RouteSummary {
+    /// The summary of a route of which nothing is known.
+    const ASSUMED: Self = Self { typical_percent: 100, quick_percent: 100, is_uneven: false };
+}
+
 /// Holds the expected ratios of run time to estimate, by route.
 #[derive(Debug, Default)]
 pub struct SpeedTable {
@@ -167,11 +172,10 @@
         });
         let has_moved = |old: u32, new: u32| old.abs_diff(new) * 100 > old * LOGGED_CHANGE_PERCENT;
         let is_change = |(route, new): &(SmolStr, RouteSummary)| {
-            self.taken.get(route).is_none_or(|old| {
-                old.is_uneven != new.is_uneven
-                    || has_moved(old.typical_percent, new.typical_percent)
-                    || has_moved(old.quick_percent, new.quick_percent)
-            })
+            let old = self.taken.get(route).unwrap_or(&RouteSummary::ASSUMED);
+            old.is_uneven != new.is_uneven
+                || has_moved(old.typical_percent, new.typical_percent)
+                || has_moved(old.quick_percent, new.quick_percent)
         };
         let changes: Vec<(SmolStr, RouteSummary)> = summaries.filter(is_change).collect();
         self.taken.retain(|route, _| self.routes.contains(route));
