--- a/crates/runs/src/entry/worker_performance.rs
+++ b/crates/runs/src/entry/worker_performance.rs
@@ -13,14 +13,17 @@
 const JOBS_MAX: usize = 6;
 /// Maximum age of a ratio that counts. A slow worker gets no tasks, so its ratios expire and it is tried again.
 const RATIO_AGE_MAX: Duration = Duration::from_millis(1_500);
-/// Number of slow runs from which a worker may count as slow. A few percent of all runs take several times as long anywhere.
-const SLOW_RUNS_MIN: usize = 6;
-/// Maximum number of slow runs of one job that count.
-const SLOW_RUNS_PER_JOB: usize = 2;
+/// Evidence from which a worker may count as slow. One slow job counts as one: its estimate may have been wrong, or its only run one of
+/// the few percent that take several times as long anywhere.
+const EVIDENCE_MIN: usize = 6;
+/// Multiple of the slowness threshold that no wrong estimate explains. Each run of a job beyond it counts.
+const CERTAIN_FACTOR: f64 = 2.0;
+/// Maximum number of runs of one job that count.
+const EVIDENCE_PER_JOB: usize = 2;
 /// Maximum number of runs of one job whose ratios are kept.
 const RUNS_PER_JOB_MAX: usize = 4;
-/// Maximum age of a job whose runs count as slow ones.
-const SLOW_RUN_AGE_MAX: Duration = Duration::from_secs(10);
+/// Maximum age of a job that counts as evidence.
+const EVIDENCE_AGE_MAX: Duration = Duration::from_secs(10);
 /// Weight of one failure or success in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.35;
 /// Share of failures at which a worker is excluded for a backoff time.
@@ -93,12 +96,19 @@
         (fresh.len() >= JOBS_MIN).then(|| fresh[(fresh.len() - 1) / 2])
     }
 
-    /// Returns whether enough runs were slow, which means that their ratios reached `threshold`. A job of which another run on the
-    /// worker was not slow shows that the worker is not the cause.
-    pub fn has_slow_runs(&self, now: MonoTime, threshold: f64) -> bool {
-        let recent = self.ratios.iter().filter(|job| now.since(job.recorded_at) < SLOW_RUN_AGE_MAX);
-        let slow = recent.filter(|job| job.runs.iter().all(|(_, ratio)| *ratio >= threshold));
-        slow.map(|job| job.runs.len().min(SLOW_RUNS_PER_JOB)).sum::<usize>() >= SLOW_RUNS_MIN
+    /// Returns whether enough jobs were slow, which means that the ratios of all their runs here reached `threshold`. A job of which
+    /// another run was not slow shows that the worker is not the cause.
+    pub fn has_slow_jobs(&self, now: MonoTime, threshold: f64) -> bool {
+        let recent = self.ratios.iter().filter(|job| now.since(job.recorded_at) < EVIDENCE_AGE_MAX);
+        let evidence = recent.map(|job| {
+            let lowest = job.runs.iter().map(|(_, ratio)| *ratio).fold(f64::MAX, f64::min);
+            match lowest {
+                lowest if lowest < threshold => 0,
+                lowest if lowest < threshold * CERTAIN_FACTOR => 1,
+                _ => job.runs.len().min(EVIDENCE_PER_JOB),
+            }
+        });
+        evidence.sum::<usize>() >= EVIDENCE_MIN
     }
 
     /// Returns whether the worker is excluded because of failures.
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -166,7 +166,7 @@
         let threshold = slowness_threshold(slownesses.iter().copied());
         let mut slow = Vec::new();
         for (worker, slowness) in self.workers.values_mut().zip(slownesses) {
-            worker.is_slow = slowness.is_some_and(|slowness| slowness >= threshold) && worker.performance.has_slow_runs(now, threshold);
+            worker.is_slow = slowness.is_some_and(|slowness| slowness >= threshold) && worker.performance.has_slow_jobs(now, threshold);
             if worker.is_slow {
                 slow.push(worker.agent.clone());
             }
--- a/crates/runs/tests/support/uneven_site.rs
+++ b/crates/runs/tests/support/uneven_site.rs
@@ -1,7 +1,7 @@
 //! A model of workers of two kinds, `a` and `b`, with the speed tables of their agents and of one or more entries.
 //!
-//! Every third worker is of kind `b`: larger and slower. Callers' estimates are off by up to 40 percent, in the same way for all
-//! tasks of a job; three percent of the tasks take seven times as long as the others. The model leaves out leases and the delays of frames.
+//! Every third worker is of kind `b`: larger and slower. Callers' estimates are off by 40 percent (standard deviation), in the same
+//! way for all tasks of a job; three percent of the tasks take seven times as long as the others. The model leaves out leases and the delays of frames.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -121,7 +121,8 @@
 /// Returns the tasks of a job, and the work of its longest task.
 pub fn draw_job(rng: &mut ChaCha8Rng, width: u64, usual_ms: u64) -> (Vec<ModelWork>, f64) {
     let job_ms = usual_ms as f64 * rng.random_range(0.6..1.4);
-    let estimate_ms = job_ms * rng.random_range(0.6..1.4);
+    let error: f64 = (0..3).map(|_| rng.random_range(-1.0..1.0)).sum();
+    let estimate_ms = job_ms * (0.4 * error).exp();
     let draw_work = |_| job_ms * rng.random_range(0.85..1.15) * if rng.random_bool(0.03) { 7.0 } else { 1.0 };
     let works: Vec<ModelWork> = (0..width).map(draw_work).map(|work_ms| ModelWork { work_ms, estimate_ms }).collect();
     let longest = works.iter().map(|work| work.work_ms).fold(0.0, f64::max);
