--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -176,6 +176,7 @@
     peer_registry: PeerRegistry,
     job_homes: JobHomes,
     peer_outbox: homes::PeerOutbox,
+    claims_checked_at: MonoTime,
     /// The own load, as peers receive it, and when it was computed.
     own_load: PeerLoad,
     load_computed_at: MonoTime,
@@ -225,6 +226,7 @@
             peer_registry,
             job_homes: JobHomes::default(),
             peer_outbox: homes::PeerOutbox::default(),
+            claims_checked_at: MonoTime::ZERO,
             own_load: PeerLoad::default(),
             load_computed_at: MonoTime::ZERO,
             refused_peer_frames: 0,
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -11,9 +11,9 @@
 use vanillacleat_core::site_plan::RouteRule;
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::DispatchControl;
+use super::{DispatchControl, MAINTENANCE_INTERVAL};
 use crate::entry::caller_api::{CallerAnswer, JobPhase};
-use crate::entry::job_homes::{ClaimState, JobClaim, PeerAnswer, RemoteWaiter};
+use crate::entry::job_homes::{ClaimState, JobClaim, PeerAnswer, PeerAnswers, RemoteWaiter};
 use crate::entry::job_order::{resubmit_delay, JobTimes};
 use crate::entry::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE};
 
@@ -61,7 +61,7 @@
             blocked_until: MonoTime::ZERO,
             lost_home: None,
             waiters: Vec::new(),
-            peers: BTreeMap::new(),
+            peers: PeerAnswers::default(),
         };
         self.job_homes.add_claim(claim);
         self.job_homes.add_claimant(&id, reply, abandon_at);
@@ -73,7 +73,7 @@
         let Some(claim) = self.job_homes.claim_mut(id) else {
             return;
         };
-        claim.peers.insert(session, PeerAnswer::Asked);
+        claim.peers.set(session, PeerAnswer::Asked);
         claim.asked_at = now;
         let query = JobQuery { job: *id, patience: Millis::from_duration(claim.abandon_at.since(now)) };
         self.peer_outbox.queries.entry(session).or_default().push(query);
@@ -148,7 +148,7 @@
         let Some(claim) = self.job_homes.claim_mut(id) else {
             return false;
         };
-        match claim.peers.get(&session) {
+        match claim.peers.get(session) {
             Some(PeerAnswer::Asked) => peer.is_some_and(|peer| own < peer),
             Some(PeerAnswer::Open) => false,
             Some(PeerAnswer::Unknown) | None => true,
@@ -161,19 +161,19 @@
         let Some(claim) = self.job_homes.claim_mut(&id) else {
             return self.handle_late_report(session, report);
         };
-        let Some(known) = claim.peers.get_mut(&session) else {
+        let Some(known) = claim.peers.get(session) else {
             return;
         };
-        match (*known, report.state) {
+        match (known, report.state) {
             (PeerAnswer::Open, HeldState::Unknown) => self.ask_peer(session, &id),
             (_, HeldState::Unknown | HeldState::Ended(JobVerdict::Refused)) => {
-                *known = PeerAnswer::Unknown;
+                claim.peers.set(session, PeerAnswer::Unknown);
                 if incarnation.is_some() && claim.lost_home == incarnation {
                     claim.blocked_until = MonoTime::ZERO;
                 }
             }
             (_, HeldState::Open) => {
-                *known = PeerAnswer::Open;
+                claim.peers.set(session, PeerAnswer::Open);
                 // The pulse confirms to the peer that this entry waits.
                 self.peer_registry.request_pulse(session);
                 let home = self.peer_registry.get(session).and_then(PeerLink::address).cloned().unwrap_or_default();
@@ -206,8 +206,8 @@
     }
 
     fn withdraw_claim(&mut self, id: &CallerJobId, claim: &JobClaim) {
-        for session in claim.peers_with(PeerAnswer::Open) {
-            self.peer_outbox.withdrawals.entry(session).or_default().push(*id);
+        for session in claim.peers.homes() {
+            self.peer_outbox.withdrawals.entry(*session).or_default().push(*id);
         }
     }
 
@@ -250,7 +250,7 @@
         let free_at = self.home_end(link);
         let mut lost = Vec::new();
         for (id, claim) in self.job_homes.claims_mut() {
-            if claim.peers.remove(&session) == Some(PeerAnswer::Open) {
+            if claim.peers.remove(session) == Some(PeerAnswer::Open) {
                 claim.blocked_until = claim.blocked_until.max(free_at);
                 claim.lost_home = link.hello.as_ref().map(|hello| hello.incarnation);
                 lost.push(*id);
@@ -291,7 +291,9 @@
             let now = self.now;
             self.job_homes.claims_mut().for_each(|(_, claim)| claim.extend(now, ask_timeout));
         }
-        if !self.resume_barrier.is_raised() {
+        let is_due = std::mem::take(&mut self.job_homes.is_changed) || self.now.since(self.claims_checked_at) >= MAINTENANCE_INTERVAL;
+        if is_due && !self.resume_barrier.is_raised() {
+            self.claims_checked_at = self.now;
             self.resolve_claims(ask_timeout);
         }
     }
@@ -314,9 +316,9 @@
         let Some(claim) = self.job_homes.take_claim(id) else {
             return;
         };
-        let unanswered = claim.peers_with(PeerAnswer::Asked).len();
-        for session in claim.peers_with(PeerAnswer::Open) {
-            self.peer_outbox.takeovers.entry(session).or_default().push(*id);
+        let unanswered = claim.peers.unanswered();
+        for session in claim.peers.homes() {
+            self.peer_outbox.takeovers.entry(*session).or_default().push(*id);
         }
         let waited = self.now.since(claim.asked_at).as_millis();
         self.log(format!("event=claim_admitted job={id} unanswered={unanswered} waited_ms={waited}"));
@@ -373,8 +375,8 @@
         let claims = self.job_homes.claims().map(|(id, claim)| {
             json!({
                 "job": id.to_string(),
-                "homes": claim.peers_with(PeerAnswer::Open).iter().map(ToString::to_string).collect::<Vec<_>>(),
-                "unanswered": claim.peers_with(PeerAnswer::Asked).len(),
+                "homes": claim.peers.homes().iter().map(ToString::to_string).collect::<Vec<_>>(),
+                "unanswered": claim.peers.unanswered(),
                 "blocked_until": claim.blocked_until.to_string(),
                 "waiters": claim.waiters.len(),
             })
--- a/crates/runs/src/entry/job_homes.rs
+++ b/crates/runs/src/entry/job_homes.rs
@@ -58,7 +58,51 @@
     /// The callers and remote waiters.
     pub waiters: Vec<ReplyId>,
     /// What the peers that were asked have answered.
-    pub peers: BTreeMap<SessionId, PeerAnswer>,
+    pub peers: PeerAnswers,
+}
+
+/// The answers of the peers that were asked for a job.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PeerAnswers {
+    answers: BTreeMap<SessionId, PeerAnswer>,
+    homes: Vec<SessionId>,
+    unanswered: usize,
+}
+
+impl PeerAnswers {
+    /// Returns what a peer has answered, or `None` if it was not asked.
+    pub fn get(&self, session: SessionId) -> Option<PeerAnswer> {
+        self.answers.get(&session).copied()
+    }
+
+    /// Records that a peer was asked, or what it has answered.
+    pub fn set(&mut self, session: SessionId, answer: PeerAnswer) {
+        self.remove(session);
+        self.answers.insert(session, answer);
+        match answer {
+            PeerAnswer::Asked => self.unanswered += 1,
+            PeerAnswer::Open => self.homes.push(session),
+            PeerAnswer::Unknown => {}
+        }
+    }
+
+    /// Removes a peer whose link was lost, and returns what it has answered.
+    pub fn remove(&mut self, session: SessionId) -> Option<PeerAnswer> {
+        let answer = self.answers.remove(&session)?;
+        self.homes.retain(|home| *home != session);
+        self.unanswered -= usize::from(answer == PeerAnswer::Asked);
+        Some(answer)
+    }
+
+    /// Returns the links to the peers that hold the job.
+    pub fn homes(&self) -> &[SessionId] {
+        &self.homes
+    }
+
+    /// Returns the number of peers that have not answered.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered
+    }
 }
 
 /// What to do with a claim.
@@ -96,6 +140,10 @@
     remote_waiters: BTreeMap<ReplyId, RemoteWaiter>,
     remote_replies: BTreeMap<(SessionId, CallerJobId), ReplyId>,
     last_remote: u64,
+    /// The jobs of which no task is started, because a remote waiter is not confirmed.
+    unconfirmed: BTreeSet<CallerJobId>,
+    /// Whether a claim may have changed since this was last taken.
+    pub is_changed: bool,
     /// Number of claims so far.
     pub claim_count: u64,
 }
@@ -104,9 +152,8 @@
     /// Returns what to do at `now`. Peers that were asked are waited for until `ask_timeout` has passed, and a home until `home_end`,
     /// when its runs have ended if nothing more is received from it.
     pub fn state(&self, now: MonoTime, ask_timeout: Duration, home_end: impl Fn(SessionId) -> MonoTime) -> ClaimState {
-        let is_asked = self.peers.values().any(|known| *known == PeerAnswer::Asked);
-        let is_asking = is_asked && now.since(self.asked_at) < ask_timeout;
-        let has_home = self.peers_with(PeerAnswer::Open).into_iter().any(|session| now < home_end(session));
+        let is_asking = self.peers.unanswered() > 0 && now.since(self.asked_at) < ask_timeout;
+        let has_home = self.peers.homes().iter().any(|session| now < home_end(*session));
         if now >= self.abandon_at {
             ClaimState::TimedOut
         } else if has_home || now < self.blocked_until || is_asking {
@@ -123,11 +170,6 @@
             self.asked_at = self.asked_at.max(now.before(ask_timeout) + READING_TIME);
         }
     }
-
-    /// Returns the links to peers with this answer.
-    pub fn peers_with(&self, answer: PeerAnswer) -> Vec<SessionId> {
-        self.peers.iter().filter(|(_, known)| **known == answer).map(|(session, _)| *session).collect()
-    }
 }
 
 impl JobHomes {
@@ -153,11 +195,13 @@
 
     /// Returns the claims for changes other than of their waiters.
     pub fn claims_mut(&mut self) -> impl Iterator<Item = (&CallerJobId, &mut JobClaim)> {
+        self.is_changed = true;
         self.claims.iter_mut()
     }
 
     /// Returns the claim for a job for changes other than of its waiters.
     pub fn claim_mut(&mut self, id: &CallerJobId) -> Option<&mut JobClaim> {
+        self.is_changed = true;
         self.claims.get_mut(id)
     }
 
@@ -231,18 +275,20 @@
             waiter.leased_from = waiter.leased_from.max(echo);
             waiter.is_confirmed |= echo >= waiter.told_at;
         }
+        let unconfirmed = self.remote_waiters.values().filter(|waiter| !waiter.is_confirmed);
+        self.unconfirmed = unconfirmed.map(|waiter| waiter.job).collect();
         let has_ended = |waiter: &RemoteWaiter| now.since(waiter.leased_from) >= HOLDING_LEASE;
         self.remote_waiters.iter().filter(|(_, waiter)| has_ended(waiter)).map(|(reply, _)| *reply).collect()
     }
 
     /// Returns whether an entry that was told that a job is open here may not have received that, and may run the job itself.
     pub fn is_unconfirmed(&self, id: &CallerJobId) -> bool {
-        !self.remote_waiters.is_empty() && self.remote_waiters.values().any(|waiter| waiter.job == *id && !waiter.is_confirmed)
+        !self.remote_waiters.is_empty() && self.unconfirmed.contains(id)
     }
 
     /// Returns the links over which one side holds a job for the other.
     pub fn holding_sessions(&self) -> BTreeSet<SessionId> {
-        let homes = self.claims.values().flat_map(|claim| claim.peers_with(PeerAnswer::Open));
+        let homes = self.claims.values().flat_map(|claim| claim.peers.homes().iter().copied());
         homes.chain(self.remote_waiters.values().map(|waiter| waiter.session)).collect()
     }
 }
