--- a/crates/runs/tests/support/uneven_site.rs
+++ b/crates/runs/tests/support/uneven_site.rs
@@ -41,7 +41,7 @@
     /// Work in milliseconds.
     pub work_ms: f64,
     /// Estimate in milliseconds.
-    pub estimate_ms: f64,
+    pub estimated_ms: f64,
 }
 
 /// Returns the zone of this number.
@@ -114,7 +114,7 @@
     /// Records at the agent that a task is done.
     pub fn record_end(&mut self, route: &str, work: ModelWork) {
         let ran = Duration::from_secs_f64(self.run_ms(work) / 1_000.0);
-        self.speeds.record(&SmolStr::new(route), Duration::from_secs_f64(work.estimate_ms / 1_000.0), ran);
+        self.speeds.record(&SmolStr::new(route), Duration::from_secs_f64(work.estimated_ms / 1_000.0), ran);
     }
 }
 
@@ -122,9 +122,9 @@
 pub fn draw_job(rng: &mut ChaCha8Rng, width: u64, usual_ms: u64) -> (Vec<ModelWork>, f64) {
     let job_ms = usual_ms as f64 * rng.random_range(0.6..1.4);
     let error: f64 = (0..3).map(|_| rng.random_range(-1.0..1.0)).sum();
-    let estimate_ms = job_ms * (0.4 * error).exp();
+    let estimated_ms = job_ms * (0.4 * error).exp();
     let draw_work = |_| job_ms * rng.random_range(0.85..1.15) * if rng.random_bool(0.03) { 7.0 } else { 1.0 };
-    let works: Vec<ModelWork> = (0..width).map(draw_work).map(|work_ms| ModelWork { work_ms, estimate_ms }).collect();
+    let works: Vec<ModelWork> = (0..width).map(draw_work).map(|work_ms| ModelWork { work_ms, estimated_ms }).collect();
     let longest = works.iter().map(|work| work.work_ms).fold(0.0, f64::max);
     (works, longest)
 }
--- a/crates/runs/tests/uneven_choice.rs
+++ b/crates/runs/tests/uneven_choice.rs
@@ -91,7 +91,7 @@
             if rng.random_bool(probability.min(1.0)) {
                 let (works, longest_ms) = draw_job(&mut rng, *width, *usual_ms);
                 let (entry, job) = (rng.random_range(0..ENTRIES), jobs.len());
-                let due_at = now + (works[0].estimate_ms * SLACK + TARGET_MS) as u64;
+                let due_at = now + (works[0].estimated_ms * SLACK + TARGET_MS) as u64;
                 jobs.push(ModelJob { arrived_at: now, longest_ms, unfinished: works.len() });
                 let tasks = works.into_iter().enumerate();
                 waiting[entry].extend(tasks.map(|(index, work)| ((due_at, job, index), ModelTask { job, route, work, due_at })));
@@ -147,7 +147,7 @@
     let at = MonoTime::from_millis(now);
     while let Some((key, task)) = waiting.pop_first() {
         let route = registry.speed_table().index(&SmolStr::new_static(ROUTES[task.route].0)).expect("a known route");
-        let estimate = Duration::from_secs_f64(task.work.estimate_ms / 1_000.0);
+        let estimate = Duration::from_secs_f64(task.work.estimated_ms / 1_000.0);
         let timing = TaskTiming { route, estimate, due_at: MonoTime::from_millis(task.due_at) };
         let request = CapacityRequest {
             service: &workers[0].info.service,
--- a/crates/runs/tests/uneven_workers.rs
+++ b/crates/runs/tests/uneven_workers.rs
@@ -57,7 +57,7 @@
                     let task = TaskId { job: CallerJobId(self.jobs), step: 0, index: index as u16 };
                     let healthy =
                         self.registry.worker_ratio(at, &worker.agent, &SmolStr::new_static(route)).expect("a known worker").healthy;
-                    let ratio = worker.run_ms(work) / (work.estimate_ms * healthy);
+                    let ratio = worker.run_ms(work) / (work.estimated_ms * healthy);
                     self.registry.performance_mut(&worker.agent).expect("a known worker").record_end(at, task, ratio);
                     worker.record_end(route, work);
                 }
