--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -222,6 +222,8 @@
     StopConfirmed,
     /// The worker rejected a start as outdated, and a list that was requested later does not contain the run.
     OutdatedUnlisted,
+    /// The worker has received a call with a higher fencing token than the start's, and its list does not contain the run.
+    FencedUnlisted,
     /// The incarnation that ran it has ended: another one at the worker's address returned a list.
     LaterList,
     /// The worker answered no polls until its lease must have ended.
@@ -246,6 +248,7 @@
             Self::Unlisted => "unlisted",
             Self::StopConfirmed => "stop_confirmed",
             Self::OutdatedUnlisted => "outdated_unlisted",
+            Self::FencedUnlisted => "fenced_unlisted",
             Self::LaterList => "later_list",
             Self::WorkerSilent => "worker_silent",
             Self::StartUnresolved => "start_unresolved",
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -289,9 +289,10 @@
         self.is_held = false;
     }
 
-    /// Marks the run as held back until `held_until`. No stop is sent until then unless the worker answers.
-    pub fn hold(&mut self, held_until: MonoTime) {
-        self.state = RunState::Stopping { call_at: held_until, taken_at: None, is_unanswered: true };
+    /// Marks the run as held back from `now` on, because its start may still be executed. A call with a higher fencing token than the
+    /// start's was sent since if the worker returns a list to a poll that was sent later: it then rejects the start.
+    pub fn hold(&mut self, now: MonoTime) {
+        self.state = RunState::Stopping { call_at: now, taken_at: Some(now), is_unanswered: true };
         self.stop_cause = Some(StopCause::Unanswered);
         self.is_held = true;
     }
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -146,7 +146,7 @@
         if self.incarnation.as_ref().is_some_and(|incarnation| list.born != 0 && list.born != incarnation.notice.born) {
             return self.handle_list_of_other(list);
         }
-        self.stop_held_runs();
+        self.stop_held_runs(list);
         self.end_former_runs();
         let now = self.now;
         let Some(incarnation) = &mut self.incarnation else {
@@ -215,7 +215,10 @@
         for (run, record) in self.runs.iter() {
             let (outcome, sign) = match record.state {
                 RunState::Running { .. } if record.confirmed_at.is_some_and(|at| at < sent_at) => (RunOutcome::Lost, EndSign::Unlisted),
-                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
+                RunState::Stopping { taken_at: Some(at), .. } if record.is_held && at <= sent_at => {
+                    (RunOutcome::Lost, EndSign::FencedUnlisted)
+                }
+                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if !record.is_held && at <= sent_at => {
                     let is_outdated = record.stop_cause == Some(StopCause::Outdated);
                     let sign = if is_outdated { EndSign::OutdatedUnlisted } else { EndSign::StopConfirmed };
                     (if is_unanswered { RunOutcome::Unanswered } else { RunOutcome::Stopped }, sign)
--- a/crates/runs/src/agent/runner/silence.rs
+++ b/crates/runs/src/agent/runner/silence.rs
@@ -9,6 +9,7 @@
 use vanillacleat_core::run_frames::{EndSign, RunOutcome};
 
 use super::RunnerControl;
+use crate::agent::calls::RunList;
 
 impl RunnerControl {
     /// Ends the runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended.
@@ -42,15 +43,18 @@
         self.fencing_token += 1;
         let ended = self.runs.select(|record| record.open_calls == 0);
         ended.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost, EndSign::WorkerSilent));
-        let held_until = self.lease_bound + self.options.lease_terms.start_transit_max;
-        self.runs.iter_mut().for_each(|(_, record)| record.hold(held_until));
+        let now = self.now;
+        self.runs.iter_mut().for_each(|(_, record)| record.hold(now));
     }
 
-    /// Stops the runs whose ends were held back, after the worker has answered again: it may have started them meanwhile, and rejects
-    /// their starts once it has accepted the stops.
-    pub(super) fn stop_held_runs(&mut self) {
+    /// Stops the runs that were held back and that the worker lists: it has started them meanwhile. Those that it does not list have
+    /// ended once the poll was sent after they were held back, with the fencing token that was raised then.
+    pub(super) fn stop_held_runs(&mut self, list: &RunList) {
         let now = self.now;
-        let held = self.runs.iter_mut().filter(|(_, record)| record.is_held);
-        held.for_each(|(_, record)| record.request_stop_again(now));
+        for task in &list.running {
+            if let Some(record) = self.runs.get_mut(&task.run).filter(|record| record.is_held) {
+                record.request_stop_again(now);
+            }
+        }
     }
 }
--- a/crates/runs/src/entry/worker_speeds.rs
+++ b/crates/runs/src/entry/worker_speeds.rs
@@ -163,7 +163,8 @@
         }
     }
 
-    /// Returns the summaries of the routes that have changed noticeably since they were last taken.
+    /// Returns the summaries of the routes on which workers are uneven, or were, and that have changed noticeably since they were last
+    /// taken.
     pub fn take_changes(&mut self) -> Vec<(SmolStr, RouteSummary)> {
         let percent = |ratio: f64| (ratio * 100.0).round() as u32;
         let summaries = self.routes.iter().zip(&self.bases).map(|(route, basis)| {
@@ -173,9 +174,8 @@
         let has_moved = |old: u32, new: u32| old.abs_diff(new) * 100 > old * LOGGED_CHANGE_PERCENT;
         let is_change = |(route, new): &(SmolStr, RouteSummary)| {
             let old = self.taken.get(route).unwrap_or(&RouteSummary::ASSUMED);
-            old.is_uneven != new.is_uneven
-                || has_moved(old.typical_percent, new.typical_percent)
-                || has_moved(old.quick_percent, new.quick_percent)
+            let has_moved = has_moved(old.typical_percent, new.typical_percent) || has_moved(old.quick_percent, new.quick_percent);
+            old.is_uneven != new.is_uneven || (new.is_uneven && has_moved)
         };
         let changes: Vec<(SmolStr, RouteSummary)> = summaries.filter(is_change).collect();
         self.taken.retain(|route, _| self.routes.contains(route));
