--- a/crates/runs/tests/job_homes.rs
+++ b/crates/runs/tests/job_homes.rs
@@ -114,9 +114,8 @@
     assert_eq!(bench.runs_of(CALLER).len(), 1);
 }
 
-// Guards against a home that was paused and places the job again when it resumes, after another entry has started it.
-#[rstest]
-fn resumed_home_starts_no_second_run(#[values(1_000, 1_250)] paused_for: u64, #[values(300, 700, 1_000, 3_000)] resumed_after: u64) {
+/// Pauses the home for `paused_for` milliseconds before the job is submitted again and for `resumed_after` afterwards.
+fn pause_home(paused_for: u64, resumed_after: u64) -> PeerBench {
     let mut bench = PeerBench::new(2, 4);
     bench.set_run_time(60_000);
     bench.submit(0, CALLER, FIRST);
@@ -127,8 +126,22 @@
     bench.advance(bench.now() + resumed_after);
     bench.set_paused(0, false);
     bench.advance(bench.now() + 2_000);
-    assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
     assert!(bench.runs_of(CALLER).len() <= 2);
+    bench
+}
+
+// Guards against a home that was paused and places the job again when it resumes, after another entry has started it.
+#[rstest]
+fn resumed_home_starts_no_second_run(#[values(1_000, 1_250)] paused_for: u64, #[values(300, 700, 1_000, 3_000)] resumed_after: u64) {
+    let bench = pause_home(paused_for, resumed_after);
+    assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
+}
+
+// Guards against a run beside that of a home that was paused just before the job was submitted again: the leases of its runs go on.
+#[test]
+fn home_that_was_just_paused_is_waited_for() {
+    let bench = pause_home(100, 3_000);
+    assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
 }
 
 // Guards against a resubmission that waits for an entry that is lost.
