--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -15,7 +15,7 @@
 use crate::entry::caller_api::{CallerAnswer, JobPhase};
 use crate::entry::job_homes::{ClaimState, JobClaim, PeerAnswer, PeerAnswers, RemoteWaiter};
 use crate::entry::job_order::{resubmit_delay, JobTimes};
-use crate::entry::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE};
+use crate::entry::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE, PULSE_INTERVAL};
 
 /// Minimum interval of the frames with queries, which bounds their number when many callers resubmit.
 const QUERY_INTERVAL: Duration = Duration::from_millis(25);
@@ -300,7 +300,8 @@
 
     fn resolve_claims(&mut self, ask_timeout: Duration) {
         let home_end = |session| self.peer_registry.get(session).map_or(MonoTime::ZERO, |link| self.home_end(link));
-        let states = self.job_homes.claims().map(|(id, claim)| (*id, claim.state(self.now, ask_timeout, home_end)));
+        let answer_end = |session, asked_at| self.answer_end(session, asked_at, ask_timeout);
+        let states = self.job_homes.claims().map(|(id, claim)| (*id, claim.state(self.now, answer_end, home_end)));
         let due: Vec<(CallerJobId, ClaimState)> = states.filter(|(_, state)| *state != ClaimState::Wait).collect();
         for (id, state) in due {
             match state {
@@ -311,6 +312,18 @@
         }
     }
 
+    /// Returns until when the answer of a peer is waited for that was asked at `asked_at`: for `ask_timeout`, and from a peer that has
+    /// been silent since, until its runs have ended. Its next pulse may have been due when its silence began.
+    fn answer_end(&self, session: SessionId, asked_at: MonoTime, ask_timeout: Duration) -> MonoTime {
+        let Some(link) = self.peer_registry.get(session) else {
+            return MonoTime::ZERO;
+        };
+        let silence_max = PULSE_INTERVAL + self.options.lease_terms.agent_loss_timeout();
+        let is_silent = link.received_at < asked_at;
+        let end = link.received_at + if is_silent { silence_max } else { ask_timeout };
+        end.max(asked_at + ask_timeout).min(asked_at + silence_max)
+    }
+
     /// Admits a job that no peer holds, unless this entry has no room for it now.
     fn admit_claim(&mut self, id: &CallerJobId) {
         let Some(claim) = self.job_homes.take_claim(id) else {
--- a/crates/runs/src/entry/job_homes.rs
+++ b/crates/runs/src/entry/job_homes.rs
@@ -103,6 +103,11 @@
     pub fn unanswered(&self) -> usize {
         self.unanswered
     }
+
+    /// Returns the links to the peers that have not answered.
+    fn awaited(&self) -> impl Iterator<Item = SessionId> + '_ {
+        self.answers.iter().filter(|(_, answer)| **answer == PeerAnswer::Asked).map(|(session, _)| *session)
+    }
 }
 
 /// What to do with a claim.
@@ -149,10 +154,15 @@
 }
 
 impl JobClaim {
-    /// Returns what to do at `now`. Peers that were asked are waited for until `ask_timeout` has passed, and a home until `home_end`,
-    /// when its runs have ended if nothing more is received from it.
-    pub fn state(&self, now: MonoTime, ask_timeout: Duration, home_end: impl Fn(SessionId) -> MonoTime) -> ClaimState {
-        let is_asking = self.peers.unanswered() > 0 && now.since(self.asked_at) < ask_timeout;
+    /// Returns what to do at `now`. A peer that was asked is waited for until `answer_end`, which gets the time of the question, and a
+    /// home until `home_end`, when its runs have ended if nothing more is received from it.
+    pub fn state(
+        &self,
+        now: MonoTime,
+        answer_end: impl Fn(SessionId, MonoTime) -> MonoTime,
+        home_end: impl Fn(SessionId) -> MonoTime,
+    ) -> ClaimState {
+        let is_asking = self.peers.unanswered() > 0 && self.peers.awaited().any(|session| now < answer_end(session, self.asked_at));
         let has_home = self.peers.homes().iter().any(|session| now < home_end(*session));
         if now >= self.abandon_at {
             ClaimState::TimedOut
