--- a/crates/runs/src/entry/straggler_rule.rs
+++ b/crates/runs/src/entry/straggler_rule.rs
@@ -39,7 +39,7 @@
         Self { total, remaining: total.saturating_sub(elapsed) }
     }
 
-    /// Returns whether the run ends more than [`RESTART_MARGIN`] after a worker that leaves in `left` has left. Such a run has to start
+    /// Returns whether the run ends more than `RESTART_MARGIN` after a worker that leaves in `left` has left. Such a run has to start
     /// again elsewhere in any case, and sooner if it is stopped now.
     pub fn ends_after(&self, left: Duration) -> bool {
         self.remaining > left + RESTART_MARGIN
