--- a/crates/runs/src/entry/worker_speeds.rs
+++ b/crates/runs/src/entry/worker_speeds.rs
@@ -163,7 +163,8 @@
         }
     }
 
-    /// Returns the summaries of the routes that have changed noticeably since they were last taken.
+    /// Returns the summaries of the routes on which the workers are no longer alike, or are again, or whose ratios have changed
+    /// noticeably since they were last taken while they are not.
     pub fn take_changes(&mut self) -> Vec<(SmolStr, RouteSummary)> {
         let percent = |ratio: f64| (ratio * 100.0).round() as u32;
         let summaries = self.routes.iter().zip(&self.bases).map(|(route, basis)| {
@@ -173,9 +174,8 @@
         let has_moved = |old: u32, new: u32| old.abs_diff(new) * 100 > old * LOGGED_CHANGE_PERCENT;
         let is_change = |(route, new): &(SmolStr, RouteSummary)| {
             let old = self.taken.get(route).unwrap_or(&RouteSummary::ASSUMED);
-            old.is_uneven != new.is_uneven
-                || has_moved(old.typical_percent, new.typical_percent)
-                || has_moved(old.quick_percent, new.quick_percent)
+            let have_moved = has_moved(old.typical_percent, new.typical_percent) || has_moved(old.quick_percent, new.quick_percent);
+            old.is_uneven != new.is_uneven || (new.is_uneven && have_moved)
         };
         let changes: Vec<(SmolStr, RouteSummary)> = summaries.filter(is_change).collect();
         self.taken.retain(|route, _| self.routes.contains(route));
@@ -300,10 +300,16 @@
     let spread = median(&mut spreads).unwrap_or(SPREAD_DEFAULT).clamp(1.0, SPREAD_MAX);
     let mut basis = RouteBasis { spread, ..RouteBasis::even(typical) };
     for worker in workers.values_mut() {
-        let of_kind = if are_kinds_even { typical } else { kinds.get(&worker.kind().cloned()).copied().unwrap_or(typical) };
+        let known_of_kind = kinds.get(&worker.kind().cloned()).copied();
+        let of_kind = known_of_kind.filter(|_| !are_kinds_even).unwrap_or(typical);
         let own = worker.speeds.get(route).filter(|speed| speed.runs >= OWN_RUNS_MIN).map(typical_ratio);
         let expected = own.filter(|own| *own > of_kind * OWN_FACTOR || *own < of_kind / OWN_FACTOR).unwrap_or(of_kind);
-        let healthy = if expected > of_kind * UNHEALTHY_FACTOR { of_kind } else { expected };
+        let healthy = match known_of_kind {
+            // A worker of a kind that is unknown may be slower than others and healthy.
+            None => expected * UNHEALTHY_FACTOR,
+            Some(_) if expected > of_kind * UNHEALTHY_FACTOR => of_kind,
+            Some(_) => expected,
+        };
         worker.ratios.push(WorkerRatio { expected, healthy, class: basis.class(expected) });
     }
     basis.quick = quick_ratio(workers).unwrap_or(typical);
--- a/crates/runs/tests/uneven_workers.rs
+++ b/crates/runs/tests/uneven_workers.rs
@@ -23,7 +23,7 @@
 };
 
 use support::plans::{make_options, make_plan};
-use support::uneven_site::{draw_job, make_registry, make_workers, zone, ModelWorker, DEMAND, ROUTES};
+use support::uneven_site::{draw_job, make_registry, make_workers, zone, ModelWork, ModelWorker, DEMAND, ROUTES};
 
 /// Interval between two jobs of one worker.
 const JOB_INTERVAL_MS: u64 = 250;
@@ -132,6 +132,21 @@
     assert!((1.5..2.0).contains(&ratio.expect("a known worker").expected));
 }
 
+/// Failure: all agents and entries restart at once. The fast workers are known before the slow ones.
+#[test]
+fn workers_of_unknown_kind_are_judged_leniently() {
+    let mut workers = make_workers(12, 1);
+    let mut registry = make_registry(&workers);
+    let work = ModelWork { work_ms: 170.0, estimated_ms: 170.0 };
+    workers.iter_mut().filter(|worker| worker.slowness < 1.0).for_each(|worker| (0..20).for_each(|_| worker.record_end("middle", work)));
+    workers.iter_mut().for_each(|worker| worker.report(200, (0, 1), &mut registry, [ResourceAmount::default(); 2]));
+    let at = MonoTime::from_millis(400);
+    registry.update_speeds(at, |_| 1.0);
+    let healthy =
+        |number: usize| registry.worker_ratio(at, &workers[number].agent, &SmolStr::new_static("middle")).map(|ratio| ratio.healthy);
+    assert!(workers[2].run_ms(work) / 170.0 < 2.0 * healthy(2).expect("a known worker"), "{:?}", healthy(2));
+}
+
 /// Load: work is admitted for a third of slow workers, which can do less with their cores.
 #[test]
 fn expected_cores_count_work_that_can_be_done() {
