Ready tasks and sent runs of a job are iterated without a list of them

The set of ready jobs is updated at each start and end, and the work ahead is summed at each submission; both built lists of all ready tasks. The lookups by agent cloned the names of all runs' agents.

--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -59,7 +59,8 @@
         // The rest of a job that has begun is placed like others, since the work that is done would be lost.
         let is_late = job.times.is_late(self.now) && !job.has_run && !job.has_sent_runs();
         let workers = self.worker_registry.connected_count(&route.service);
-        for task in job.ready_tasks() {
+        let ready: Vec<TaskId> = job.ready_tasks().collect();
+        for task in ready {
             let step = &job_spec.steps[usize::from(task.step)];
             let Some(job) = self.job_table.get(id) else {
                 return;
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -214,7 +214,7 @@
     /// Returns the runs that were sent to an agent and whose ends have not been reported.
     pub fn runs_at(&self, agent: &AgentId) -> Vec<OrderedRun> {
         let sent = self.jobs.values().flat_map(OpenJob::sent_runs);
-        sent.filter(|(_, sent_to)| sent_to == agent).map(|(run, _)| run).collect()
+        sent.filter(|(_, sent_to)| *sent_to == agent).map(|(run, _)| run).collect()
     }
 
     /// Stops a run and excludes its agent, so that the task is placed on another worker. Returns `None` if the run has
@@ -270,7 +270,7 @@
                 *is_stopping = true;
             }
         }
-        effects.extend(job.sent_runs().into_iter().map(|(run, agent)| JobEffect::Stop { agent, run }));
+        effects.extend(job.sent_runs().map(|(run, agent)| JobEffect::Stop { agent: agent.clone(), run }));
         self.update_ready(id);
         effects.extend(self.finish_stop(id));
         effects
@@ -312,7 +312,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        if job.is_active() && !job.ready_tasks().is_empty() {
+        if job.is_active() && job.ready_tasks().next().is_some() {
             self.ready.insert(*id);
         } else {
             self.ready.remove(id);
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -161,27 +161,25 @@
     }
 
     /// Returns the waiting tasks whose steps are ready.
-    pub fn ready_tasks(&self) -> Vec<TaskId> {
+    pub fn ready_tasks(&self) -> impl Iterator<Item = TaskId> + '_ {
         let steps = (0..self.steps.len()).filter(|step| self.is_step_ready(*step));
-        let tasks = steps.flat_map(|step| {
+        steps.flat_map(move |step| {
             let waiting = self.steps[step].iter().enumerate().filter(|(_, slot)| slot.state == SlotState::Waiting);
             waiting.map(move |(index, _)| TaskId { job: self.job.id, step: step as u16, index: index as u16 })
-        });
-        tasks.collect()
+        })
     }
 
     /// Returns the runs that were sent and whose ends have not been reported, with their agents.
-    pub fn sent_runs(&self) -> Vec<(OrderedRun, AgentId)> {
+    pub fn sent_runs(&self) -> impl Iterator<Item = (OrderedRun, &AgentId)> {
         let slots =
             self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
-        let sent = slots.filter_map(|(step, index, slot)| match &slot.state {
+        slots.filter_map(|(step, index, slot)| match &slot.state {
             SlotState::Sent { agent, order, .. } => {
                 let task = TaskId { job: self.job.id, step: step as u16, index: index as u16 };
-                Some((OrderedRun { run: RunId { task, run: slot.runs }, order: *order }, agent.clone()))
+                Some((OrderedRun { run: RunId { task, run: slot.runs }, order: *order }, agent))
             }
             SlotState::Waiting | SlotState::Done => None,
-        });
-        sent.collect()
+        })
     }
 
     /// Returns the job's rank among the waiting jobs. The lowest is placed first.
@@ -191,8 +189,7 @@
 
     /// Returns the expected work of the ready tasks, in core-seconds.
     pub fn waiting_work(&self) -> f64 {
-        let cores: f64 =
-            self.ready_tasks().iter().map(|task| self.job.steps[usize::from(task.step)].demand.millicores as f64 / 1_000.0).sum();
+        let cores: f64 = self.ready_tasks().map(|task| self.job.steps[usize::from(task.step)].demand.millicores as f64 / 1_000.0).sum();
         cores * self.times.expected.as_secs_f64()
     }
 
