Jobs that ask for what was not found are not tried again in one placement

While room is short, each event tried every ready job on every worker, and counted the connected workers for each job although the count matters only for tasks that failed before. Free capacity only shrinks while the ready jobs are placed, so a request that needs at least as much as one without a worker finds none either.

--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId, ResourceAmount, RunId, TaskId};
-use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::ids::{AgentId, ServiceName};
 use vanillacleat_core::run_frames::{OrderId, RunStart};
 use vanillacleat_core::site_plan::RouteRule;
 
@@ -14,6 +14,47 @@
 use crate::entry::open_job::{FormerRun, OpenJob};
 use crate::entry::worker_registry::CapacityRequest;
 
+/// Maximum number of requests that are remembered as unmet. They differ in service, demand and label, of which a site has few.
+const UNMET_REQUESTS_MAX: usize = 16;
+
+/// The requests for which no worker was found since the placement of all ready jobs began. Free capacity only shrinks until it ends,
+/// so that a request that needs at least as much finds none either.
+#[derive(Debug, Default)]
+struct UnmetRequests {
+    requests: Vec<UnmetRequest>,
+}
+
+/// What a worker would have needed for a request without excluded agents.
+#[derive(Debug)]
+struct UnmetRequest {
+    service: ServiceName,
+    demand: ResourceAmount,
+    required_label: Option<SmolStr>,
+    is_late: bool,
+}
+
+impl UnmetRequests {
+    fn record(&mut self, request: &CapacityRequest<'_>) {
+        if request.excluded.is_empty() && self.requests.len() < UNMET_REQUESTS_MAX {
+            self.requests.push(UnmetRequest {
+                service: request.service.clone(),
+                demand: *request.demand,
+                required_label: request.required_label.cloned(),
+                is_late: request.is_late,
+            });
+        }
+    }
+
+    /// Returns whether a request was unmet that any worker for `request` would have met.
+    fn covers(&self, request: &CapacityRequest<'_>) -> bool {
+        let is_covering = |unmet: &UnmetRequest| {
+            let has_label = unmet.required_label.is_none() || unmet.required_label.as_ref() == request.required_label;
+            unmet.service == *request.service && unmet.demand.fits(request.demand) && has_label && (request.is_late || !unmet.is_late)
+        };
+        self.requests.iter().any(is_covering)
+    }
+}
+
 impl DispatchControl {
     /// Returns the times that decide a job's rank. The time until the answer is due is the expected run time of the
     /// job's critical path, multiplied by the route's slack factor, plus the route's target latency.
@@ -46,26 +87,26 @@
         if is_held || !self.job_table.has_ready() || !self.worker_registry.has_free_capacity(self.now) {
             return;
         }
+        let mut unmet = UnmetRequests::default();
         for id in self.job_table.ready_jobs(self.now) {
-            self.place_job(&id);
+            self.place_job(&id, &mut unmet);
         }
     }
 
-    fn place_job(&mut self, id: &CallerJobId) {
+    fn place_job(&mut self, id: &CallerJobId, unmet: &mut UnmetRequests) {
         let Some(job) = self.job_table.get(id).filter(|job| job.is_active()) else {
             return;
         };
         let (payload, route, job_spec) = (job.job.payload.clone(), job.route.clone(), job.job.clone());
         // The rest of a job that has begun is placed like others, since the work that is done would be lost.
         let is_late = job.times.is_late(self.now) && !job.has_run && !job.has_sent_runs();
-        let workers = self.worker_registry.connected_count(&route.service);
         let ready: Vec<TaskId> = job.ready_tasks().collect();
         for task in ready {
             let step = &job_spec.steps[usize::from(task.step)];
             let Some(job) = self.job_table.get(id) else {
                 return;
             };
-            let excluded = job.excluded_agents(&task, workers);
+            let excluded = job.excluded_agents(&task, || self.worker_registry.connected_count(&route.service));
             let request = CapacityRequest {
                 service: &route.service,
                 demand: &step.demand,
@@ -74,10 +115,13 @@
                 excluded: &excluded,
                 is_late,
             };
+            if unmet.covers(&request) {
+                return;
+            }
             let last = job.last_agent.as_ref();
             let chosen = self.worker_registry.choose_worker(self.now, &self.options.zone, &self.plan.zones_out, &request, last);
             let Some(agent) = chosen.cloned() else {
-                return;
+                return unmet.record(&request);
             };
             self.send_start(&task, &agent, step.demand, &payload);
         }
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -113,11 +113,11 @@
 
     /// Returns the agents that a task should not be sent to: those excluded after earlier runs, and those that already
     /// run as many tasks of its step as the step allows for one worker. Exclusions after earlier runs are ignored once
-    /// they number as many as `workers`, since then no worker is better than another.
-    pub fn excluded_agents(&self, task: &TaskId, workers: usize) -> Vec<AgentId> {
+    /// they number as many as the `workers`, which are counted only if there are any, since then no worker is better than another.
+    pub fn excluded_agents(&self, task: &TaskId, workers: impl FnOnce() -> usize) -> Vec<AgentId> {
         let (step, slots) = (&self.job.steps[usize::from(task.step)], &self.steps[usize::from(task.step)]);
         let mut excluded = slots[usize::from(task.index)].excluded.clone();
-        if excluded.len() >= workers {
+        if !excluded.is_empty() && excluded.len() >= workers() {
             excluded.clear();
         }
         if step.per_worker_max > 0 {
--- a/crates/runs/tests/placement.rs
+++ b/crates/runs/tests/placement.rs
@@ -77,14 +77,18 @@
     }
 
     fn submit(&mut self, step: JobStep) {
+        self.submit_as(CallerJobId(0xab), step);
+    }
+
+    fn submit_as(&mut self, id: CallerJobId, step: JobStep) {
         let draft = JobDraft { steps: vec![step], ..JobDraft::default() };
         let request = CallerRequest {
             host: SmolStr::new_static("desk.example"),
-            path: SmolStr::new_static("/bids/00000000000000ab"),
+            path: SmolStr::new(format!("/bids/{id}")),
             caller_timeout: Some(Duration::from_secs(2)),
             kind: RequestKind::Submit(draft),
         };
-        self.deliver(DispatchEvent::Requested { reply: ReplyId(1), request });
+        self.deliver(DispatchEvent::Requested { reply: ReplyId(id.0), request });
     }
 
     /// Returns the number of starts sent to each worker.
@@ -113,6 +117,17 @@
     assert!(harness.answers.is_empty());
 }
 
+/// Guards against a request that no worker meets being taken as a sign that none meets a lesser one.
+#[rstest]
+#[case::more_than_any_worker_has(JobStep { demand: ResourceAmount { millicores: 40_000, ..ResourceAmount::default() }, ..step(1) })]
+#[case::label_of_no_worker(JobStep { required_label: Some(SmolStr::new_static("x")), ..step(1) })]
+fn unmet_job_delays_no_lesser_one(#[case] unmet: JobStep) {
+    let mut harness = EntryHarness::new();
+    harness.submit_as(CallerJobId(1), unmet);
+    harness.submit_as(CallerJobId(2), step(2));
+    assert_eq!(harness.starts_per_worker(), vec![2, 0, 0]);
+}
+
 #[test]
 fn failed_task_is_sent_to_every_worker_before_repeating_one() {
     let mut harness = EntryHarness::new();
