--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -349,7 +349,7 @@
                 "phase": format!("{:?}", job.phase()),
                 "arrived": job.arrived_at.to_string(),
                 "wanted": job.times.target_at.to_string(),
-                "runs": job.sent_runs().map(|(sent, agent)| format!("{}@{agent}", sent.run)).collect::<Vec<_>>(),
+                "runs": job.sent_runs().iter().map(|(sent, agent)| format!("{}@{agent}", sent.run)).collect::<Vec<_>>(),
             })
         });
         let workers = self.worker_registry.workers().map(|worker| {
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -213,7 +213,7 @@
 
     /// Returns the runs that were sent to an agent and whose ends have not been reported.
     pub fn runs_at(&self, agent: &AgentId) -> Vec<OrderedRun> {
-        let sent = self.jobs.values().flat_map(OpenJob::sent_runs);
+        let sent = self.jobs.values().flat_map(OpenJob::iter_sent);
         sent.filter(|(_, sent_to)| *sent_to == agent).map(|(run, _)| run).collect()
     }
 
@@ -270,7 +270,7 @@
                 *is_stopping = true;
             }
         }
-        effects.extend(job.sent_runs().map(|(run, agent)| JobEffect::Stop { agent: agent.clone(), run }));
+        effects.extend(job.sent_runs().into_iter().map(|(run, agent)| JobEffect::Stop { agent, run }));
         self.update_ready(id);
         effects.extend(self.finish_stop(id));
         effects
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -170,7 +170,12 @@
     }
 
     /// Returns the runs that were sent and whose ends have not been reported, with their agents.
-    pub fn sent_runs(&self) -> impl Iterator<Item = (OrderedRun, &AgentId)> {
+    pub fn sent_runs(&self) -> Vec<(OrderedRun, AgentId)> {
+        self.iter_sent().map(|(run, agent)| (run, agent.clone())).collect()
+    }
+
+    /// Iterates over [`Self::sent_runs`].
+    pub(super) fn iter_sent(&self) -> impl Iterator<Item = (OrderedRun, &AgentId)> {
         let slots =
             self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
         slots.filter_map(|(step, index, slot)| match &slot.state {
