--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -106,18 +106,19 @@
             let Some(job) = self.job_table.get(id) else {
                 return;
             };
-            let excluded = job.excluded_agents(&task, || self.worker_registry.connected_count(&route.service));
-            let request = CapacityRequest {
+            let mut request = CapacityRequest {
                 service: &route.service,
                 demand: &step.demand,
                 required_label: step.required_label.as_ref(),
                 preferred_rack: step.preferred_rack.as_ref(),
-                excluded: &excluded,
+                excluded: &[],
                 is_late,
             };
             if unmet.covers(&request) {
                 return;
             }
+            let excluded = job.excluded_agents(&task, || self.worker_registry.connected_count(&route.service));
+            request.excluded = &excluded;
             let last = job.last_agent.as_ref();
             let chosen = self.worker_registry.choose_worker(self.now, &self.options.zone, &self.plan.zones_out, &request, last);
             let Some(agent) = chosen.cloned() else {
