--- a/crates/runs/src/entry/straggler_rule.rs
+++ b/crates/runs/src/entry/straggler_rule.rs
@@ -15,9 +15,9 @@
 /// slowness counts as healthy. Because the threshold is a multiple of the median, fewer than half of the workers can be
 /// slow.
 pub fn slowness_threshold(slownesses: impl Iterator<Item = Option<f64>>) -> f64 {
-    let mut sorted: Vec<f64> = slownesses.map(|slowness| slowness.unwrap_or(1.0)).collect();
-    sorted.sort_by(f64::total_cmp);
-    let median = sorted.get(sorted.len() / 2).copied().unwrap_or(1.0);
+    let mut slownesses: Vec<f64> = slownesses.map(|slowness| slowness.unwrap_or(1.0)).collect();
+    let middle = slownesses.len() / 2;
+    let median = if slownesses.is_empty() { 1.0 } else { *slownesses.select_nth_unstable_by(middle, f64::total_cmp).1 };
     median.max(1.0) * SLOW_FACTOR
 }
 
--- a/crates/runs/src/entry/worker_performance.rs
+++ b/crates/runs/src/entry/worker_performance.rs
@@ -70,8 +70,12 @@
     /// known.
     pub fn slowness(&self, now: MonoTime) -> Option<f64> {
         let fresh = self.ratios.iter().filter(|ratio| now.since(ratio.recorded_at) < RATIO_AGE_MAX);
-        let mut fresh: Vec<f64> = fresh.map(|ratio| ratio.ratio).collect();
-        fresh.sort_by(f64::total_cmp);
+        let (mut sorted, mut count) = ([0.0; JOBS_MAX], 0);
+        for ratio in fresh {
+            (sorted[count], count) = (ratio.ratio, count + 1);
+        }
+        let fresh = &mut sorted[..count];
+        fresh.sort_unstable_by(f64::total_cmp);
         // The lower median: a worker is slow only if more than half of its jobs are slow.
         (fresh.len() >= JOBS_MIN).then(|| fresh[(fresh.len() - 1) / 2])
     }
