--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -4,17 +4,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use metrics::{Counter, Gauge, Histogram};
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventBatch, EventSink};
-use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, Measurement};
+use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent};
 use vanillacleat_wire::SessionQueue;
 
 use crate::caller_confirmation::confirm_callers;
+use crate::entry_metrics::EntryMetrics;
 
 /// Input of the control thread.
 #[derive(Debug)]
@@ -47,11 +47,7 @@
     next_session: u64,
     runtime_handle: Handle,
     event_sink: EventSink<EntryInput>,
-    /// How long the oldest input of each step has waited.
-    control_lag: Histogram,
-    sessions: Gauge,
-    strained: Gauge,
-    outdated_hellos: Counter,
+    metrics: EntryMetrics,
 }
 
 impl EntryLoop {
@@ -64,10 +60,7 @@
             next_session: 0,
             runtime_handle,
             event_sink: EventSink::default(),
-            control_lag: metrics::histogram!("runs_control_lag_seconds"),
-            sessions: metrics::gauge!("runs_sessions"),
-            strained: metrics::gauge!("runs_entry_strained"),
-            outdated_hellos: metrics::counter!("runs_outdated_hellos_total"),
+            metrics: EntryMetrics::new(),
         }
     }
 
@@ -78,7 +71,7 @@
 
     /// Handles the inputs that are waiting.
     pub(crate) fn step(&mut self, now: MonoTime, batch: EventBatch<EntryInput>) -> ControlStep {
-        self.control_lag.record(batch.lag.as_secs_f64());
+        self.metrics.control_lag.record(batch.lag.as_secs_f64());
         let mut events = Vec::with_capacity(batch.events.len());
         for input in batch.events {
             match input {
@@ -121,7 +114,7 @@
     fn execute(&mut self, action: DispatchAction) {
         match action {
             DispatchAction::Reply { reply, answer } => {
-                metrics::counter!("runs_answers_total", "kind" => answer.kind()).increment(1);
+                self.metrics.count_answer(answer.kind());
                 if let Some(answer_sender) = self.answer_senders.remove(&reply) {
                     // The send fails if the caller has disconnected.
                     let _ = answer_sender.send(answer);
@@ -142,36 +135,20 @@
                 });
             }
             DispatchAction::Log(line) => log::info!("{line}"),
-            DispatchAction::Measured(measurement) => record_measurement(measurement),
+            DispatchAction::Measured(measurement) => self.metrics.record(measurement),
             DispatchAction::Drained => {}
         }
     }
 
     fn publish_status(&self) {
-        self.sessions.set(self.session_queues.len() as f64);
-        self.outdated_hellos.absolute(self.control.outdated_hellos());
-        self.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
+        self.metrics.sessions.set(self.session_queues.len() as f64);
+        self.metrics.outdated_hellos.absolute(self.control.outdated_hellos());
+        self.metrics.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
         self.status.is_ready.store(self.control.is_ready(), Ordering::Relaxed);
         self.status.is_draining.store(self.control.is_draining(), Ordering::Relaxed);
     }
 }
 
-fn record_measurement(measurement: Measurement) {
-    let (histogram, after) = match measurement {
-        Measurement::Placed { priority, after } => {
-            (metrics::histogram!("runs_placement_wait_seconds", "priority" => priority.to_string()), after)
-        }
-        Measurement::PlacedAgain { outcome, sign } => {
-            metrics::counter!("runs_placed_again_total", "outcome" => outcome.as_str(), "evidence" => sign.as_str()).increment(1);
-            return;
-        }
-        Measurement::Answered { priority, kind, after } => {
-            (metrics::histogram!("runs_response_seconds", "priority" => priority.to_string(), "kind" => kind), after)
-        }
-    };
-    histogram.record(after.as_secs_f64());
-}
-
 /// Returns the input for a frame that an agent sent.
 pub(crate) fn make_frame_event(session: SessionId, frame: RunFrame) -> EntryInput {
     EntryInput::Event(DispatchEvent::Frame { session, frame })
--- a/crates/runs-daemon/src/lib.rs
+++ b/crates/runs-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller_confirmation;
 mod entry_daemon;
 mod entry_loop;
+mod entry_metrics;
 mod run_settings;
 
 pub use agent_daemon::{AgentPort, RunsAgent};
