--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -229,8 +229,8 @@
 
     /// Returns the runs that were sent to an agent and whose ends have not been reported.
     pub fn runs_at(&self, agent: &AgentId) -> Vec<OrderedRun> {
-        let sent = self.jobs.values().flat_map(OpenJob::sent_runs);
-        sent.filter(|(_, sent_to)| sent_to == agent).map(|(run, _)| run).collect()
+        let sent = self.jobs.values().flat_map(OpenJob::iter_sent);
+        sent.filter(|(_, sent_to)| *sent_to == agent).map(|(run, _)| run).collect()
     }
 
     /// Stops a run and excludes its agent, so that the task is placed on another worker. Returns `None` if the run has
@@ -328,7 +328,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        if job.is_active() && !job.ready_tasks().is_empty() {
+        if job.is_active() && job.ready_tasks().next().is_some() {
             self.ready.insert(*id);
         } else {
             self.ready.remove(id);
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -113,11 +113,11 @@
 
     /// Returns the agents that a task should not be sent to: those excluded after earlier runs, and those that already
     /// run as many tasks of its step as the step allows for one worker. Exclusions after earlier runs are ignored once
-    /// they number as many as `workers`, since then no worker is better than another.
-    pub fn excluded_agents(&self, task: &TaskId, workers: usize) -> Vec<AgentId> {
+    /// they number as many as the `workers`, which are counted only if there are any, since then no worker is better than another.
+    pub fn excluded_agents(&self, task: &TaskId, workers: impl FnOnce() -> usize) -> Vec<AgentId> {
         let (step, slots) = (&self.job.steps[usize::from(task.step)], &self.steps[usize::from(task.step)]);
         let mut excluded = slots[usize::from(task.index)].excluded.clone();
-        if excluded.len() >= workers {
+        if !excluded.is_empty() && excluded.len() >= workers() {
             excluded.clear();
         }
         if step.per_worker_max > 0 {
@@ -161,27 +161,30 @@
     }
 
     /// Returns the waiting tasks whose steps are ready.
-    pub fn ready_tasks(&self) -> Vec<TaskId> {
+    pub fn ready_tasks(&self) -> impl Iterator<Item = TaskId> + '_ {
         let steps = (0..self.steps.len()).filter(|step| self.is_step_ready(*step));
-        let tasks = steps.flat_map(|step| {
+        steps.flat_map(move |step| {
             let waiting = self.steps[step].iter().enumerate().filter(|(_, slot)| slot.state == SlotState::Waiting);
             waiting.map(move |(index, _)| TaskId { job: self.job.id, step: step as u16, index: index as u16 })
-        });
-        tasks.collect()
+        })
     }
 
     /// Returns the runs that were sent and whose ends have not been reported, with their agents.
     pub fn sent_runs(&self) -> Vec<(OrderedRun, AgentId)> {
+        self.iter_sent().map(|(run, agent)| (run, agent.clone())).collect()
+    }
+
+    /// Iterates over [`Self::sent_runs`].
+    pub(super) fn iter_sent(&self) -> impl Iterator<Item = (OrderedRun, &AgentId)> {
         let slots =
             self.steps.iter().enumerate().flat_map(|(step, slots)| slots.iter().enumerate().map(move |(index, slot)| (step, index, slot)));
-        let sent = slots.filter_map(|(step, index, slot)| match &slot.state {
+        slots.filter_map(|(step, index, slot)| match &slot.state {
             SlotState::Sent { agent, order, .. } => {
                 let task = TaskId { job: self.job.id, step: step as u16, index: index as u16 };
-                Some((OrderedRun { run: RunId { task, run: slot.runs }, order: *order }, agent.clone()))
+                Some((OrderedRun { run: RunId { task, run: slot.runs }, order: *order }, agent))
             }
             SlotState::Waiting | SlotState::Done => None,
-        });
-        sent.collect()
+        })
     }
 
     /// Returns the job's rank among the waiting jobs. The lowest is placed first.
@@ -191,8 +194,7 @@
 
     /// Returns the expected work of the ready tasks, in core-seconds.
     pub fn waiting_work(&self) -> f64 {
-        let cores: f64 =
-            self.ready_tasks().iter().map(|task| self.job.steps[usize::from(task.step)].demand.millicores as f64 / 1_000.0).sum();
+        let cores: f64 = self.ready_tasks().map(|task| self.job.steps[usize::from(task.step)].demand.millicores as f64 / 1_000.0).sum();
         cores * self.times.expected.as_secs_f64()
     }
 
