One wall clock, one dial timeout, one plan for the tests of entries

The timeout of dialing and the plan of entry_exit stood twice. The guard against held runs in the second arm of finish_unlisted was implied by the first.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,16 +1,16 @@
 //! Starting and stopping an agent.
 
-use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
+use std::net::SocketAddr;
 use tokio::runtime::Handle;
 use vanillacleat_control::agent::{AgentControl, AgentEvent, AgentOptions};
 use vanillacleat_core::ids::{Incarnation, ProcessStart, WorkerKey};
 use vanillacleat_core::job::TaskDemand;
 use vanillacleat_core::settings::AgentSettings;
-use vanillacleat_daemon::{install_metrics, spawn_control_thread, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal};
+use vanillacleat_daemon::{
+    install_metrics, spawn_control_thread, unix_millis, DaemonError, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
+};
 
 use crate::agent_input::AgentInput;
 use crate::control_loop::ControlLoop;
@@ -72,7 +72,7 @@
 fn control_options(settings: &AgentSettings) -> AgentOptions {
     AgentOptions {
         worker: WorkerKey { agent: settings.id.clone(), incarnation: Incarnation(rand::random()) },
-        process_start: ProcessStart(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64)),
+        process_start: ProcessStart(unix_millis()),
         zone: settings.zone.clone(),
         capacity: TaskDemand { memory_mb: settings.capacity.memory_mb, accelerators: settings.capacity.accelerators },
         entries: settings.entries.iter().map(|address| -> SmolStr { address.to_smolstr() }).collect(),
--- a/crates/daemon/src/host_clock.rs
+++ b/crates/daemon/src/host_clock.rs
@@ -1,6 +1,6 @@
-//! The host's clocks, of which one counts the time that the host was suspended.
+//! The host's clocks. The boot clock counts the time that the host was suspended, the steady clock does not.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{clock_gettime, ClockId};
 
@@ -17,6 +17,11 @@
     Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
 }
 
+/// Returns the wall clock in Unix milliseconds; zero if it is set to a time before 1970. It may be set back.
+pub fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis() as u64)
+}
+
 /// Detects that the host was suspended. The boot clock counts that time and the steady clock does not.
 #[derive(Debug)]
 pub struct SuspensionWatch {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,7 +19,7 @@
 mod signals;
 
 pub use control_thread::{spawn_batch_thread, spawn_control_thread, ControlStep, EventBatch, EventSender, PauseSwitch};
-pub use host_clock::SuspensionWatch;
+pub use host_clock::{unix_millis, SuspensionWatch};
 pub use http_server::{launch_server, server_config, ProblemReply, ServerError, BODY_BYTES_MAX};
 pub use logging::{finish_logging, init_command_logging, init_logging};
 pub use metrics_page::{install_metrics, render_metrics};
--- a/crates/runs-daemon/src/agent_daemon.rs
+++ b/crates/runs-daemon/src/agent_daemon.rs
@@ -1,7 +1,5 @@
 //! The process of an agent for leased runs: its start, its port for adapters and its drain.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use error_stack::{Report, ResultExt};
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::runtime::Handle;
@@ -9,7 +7,7 @@
 use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_daemon::{
-    install_metrics, spawn_control_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
+    install_metrics, spawn_control_thread, unix_millis, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
 };
 use vanillacleat_runs::agent::{RunnerControl, RunnerEvent, RunnerOptions, WorkerNotice};
 
@@ -112,7 +110,7 @@
         entries: settings.entries.iter().map(|entry| -> SmolStr { entry.to_smolstr() }).collect(),
         // Taken from the wall clock, so that later agents of a host have higher tokens. If the clock was set back, the
         // worker rejects the token and the agent raises it.
-        fencing_token: SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |at| at.as_millis() as u64),
+        fencing_token: unix_millis().max(1),
         lease_terms: settings.leases.lease_terms(),
         drain_timeout: settings.leases.drain_timeout(),
         seed: rand::random(),
--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -18,8 +18,6 @@
 use vanillacleat_runs::agent::{RunnerAction, RunnerControl, RunnerEvent, WorkerCall, WorkerReply};
 use vanillacleat_wire::{run_session, session_queue, OpenSession, SessionQueue};
 
-/// Timeout for opening a session; the round trip to an entry takes a few milliseconds.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for sending the last frames before a drained agent exits.
 const FLUSH_DELAY: Duration = Duration::from_millis(50);
 
@@ -158,7 +156,7 @@
 }
 
 async fn dial_entry(session: SessionId, address: SmolStr, event_sink: InputSink) {
-    let opened = timeout(DIAL_TIMEOUT, OpenSession::<RunFrame, OrderFrame>::dial(&address)).await;
+    let opened = timeout(crate::DIAL_TIMEOUT, OpenSession::<RunFrame, OrderFrame>::dial(&address)).await;
     let Ok(Ok(OpenSession { connection, sender, receiver })) = opened else {
         return event_sink.send(AgentInput::Event(RunnerEvent::SessionClosed { session: None, address }));
     };
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use smol_str::ToSmolStr;
@@ -14,7 +14,7 @@
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_daemon::{
-    install_metrics, spawn_batch_thread, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
+    install_metrics, spawn_batch_thread, unix_millis, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
 };
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchControl, DispatchEvent, DispatchOptions};
 use vanillacleat_wire::{run_session, serve_listener, session_queue, IncomingStream, SessionStream};
@@ -149,7 +149,7 @@
     let drain_timeout = settings.leases.drain_timeout();
     DispatchOptions {
         incarnation: Incarnation(rand::random()),
-        process_start: ProcessStart(SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |at| at.as_millis() as u64)),
+        process_start: ProcessStart(unix_millis().max(1)),
         address: settings.mesh_listen.to_smolstr(),
         zone: settings.zone.clone(),
         lease_terms: settings.leases.lease_terms(),
--- a/crates/runs-daemon/src/lib.rs
+++ b/crates/runs-daemon/src/lib.rs
@@ -15,7 +15,12 @@
 mod peer_sessions;
 mod run_settings;
 
+use std::time::Duration;
+
 pub use agent_daemon::{AgentPort, RunsAgent};
 pub use agent_loop::{WorkerPort, WorkerRequest};
 pub use entry_daemon::{EntryPort, RunsEntry};
 pub use run_settings::{LeaseSettings, RunsAgentSettings, RunsEntrySettings};
+
+/// Timeout for opening a session with an entry; the round trip takes a few milliseconds.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/runs-daemon/src/peer_sessions.rs
+++ b/crates/runs-daemon/src/peer_sessions.rs
@@ -1,7 +1,6 @@
 //! The links to other entries: dialing, serving and the queues of outgoing frames.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use metrics::{Counter, Gauge};
 use smol_str::SmolStr;
@@ -15,9 +14,6 @@
 
 use crate::entry_loop::EntryInput;
 
-/// Timeout for opening a link; the round trip to an entry takes a few milliseconds.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// The queues of the frames to peers.
 pub(crate) struct PeerQueues {
     queues: HashMap<SessionId, SessionQueue<PeerFrame>>,
@@ -65,7 +61,7 @@
 
 /// Dials an entry and serves the link until it is closed.
 pub(crate) async fn dial_peer(address: SmolStr, event_sink: EventSink<EntryInput>) {
-    let opened = timeout(DIAL_TIMEOUT, OpenSession::<PeerFrame, PeerFrame>::dial_peer(&address)).await;
+    let opened = timeout(crate::DIAL_TIMEOUT, OpenSession::<PeerFrame, PeerFrame>::dial_peer(&address)).await;
     let Ok(Ok(OpenSession { connection, sender, receiver })) = opened else {
         return event_sink.send(make_event(PeerEvent::DialFailed(address)));
     };
--- a/crates/runs-daemon/tests/entry_exit.rs
+++ b/crates/runs-daemon/tests/entry_exit.rs
@@ -2,31 +2,16 @@
 //! which would guarantee that nothing has run.
 
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::JobStep;
-use vanillacleat_core::site_plan::{RouteRule, RouteTable, SitePlan};
-use vanillacleat_core::units::{Millis, Revision};
+use vanillacleat_core::units::Millis;
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, JobDraft, RequestKind};
 use vanillacleat_runs_daemon::{LeaseSettings, RunsEntry, RunsEntrySettings};
 
-fn make_plan() -> SitePlan {
-    let route = RouteRule {
-        name: SmolStr::new_static("bids"),
-        host: SmolStr::new_static("desk.example"),
-        prefix: SmolStr::new_static("/bids/"),
-        service: "desk".parse().expect("a valid name"),
-        timeout: Millis(60_000),
-        target_latency: Millis(60_000),
-        slack_percent: 160,
-        priority: 0,
-        attempts_max: 2,
-    };
-    let table = RouteTable { version: Revision(1), routes: vec![Arc::new(route)], body_bytes_max: 100_000 };
-    SitePlan { table: Some(Arc::new(table)), zones_revision: 1, ..SitePlan::default() }
-}
+mod support;
+use support::make_plan;
 
 fn make_request() -> CallerRequest {
     let step = JobStep { count: 1, estimate: Millis(10), ..JobStep::default() };
--- a/crates/runs-daemon/tests/entry_links.rs
+++ b/crates/runs-daemon/tests/entry_links.rs
@@ -1,38 +1,21 @@
 //! Two entries in real processes' threads that find each other, and a resubmitted job that stays with the first of them.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 use smol_str::{SmolStr, ToSmolStr};
 use vanillacleat_core::caller_job::JobStep;
 use vanillacleat_core::run_frames::EntryRecord;
-use vanillacleat_core::site_plan::{RouteRule, RouteTable, SitePlan};
-use vanillacleat_core::units::{Millis, Revision};
+use vanillacleat_core::units::Millis;
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
 use vanillacleat_runs_daemon::{EntryPort, LeaseSettings, RunsEntry, RunsEntrySettings};
 
+mod support;
+use support::{make_plan, ROUTE_TIMEOUT};
+
 /// Time within which each step of the test must happen.
 const STEP_TIMEOUT: Duration = Duration::from_secs(20);
-/// The route's timeout. A request that waits for less is a resubmission.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
-
-fn make_plan() -> SitePlan {
-    let route = RouteRule {
-        name: SmolStr::new_static("bids"),
-        host: SmolStr::new_static("desk.example"),
-        prefix: SmolStr::new_static("/bids/"),
-        service: "desk".parse().expect("a valid name"),
-        timeout: Millis::from_duration(ROUTE_TIMEOUT),
-        target_latency: Millis::from_duration(ROUTE_TIMEOUT),
-        slack_percent: 160,
-        priority: 0,
-        attempts_max: 2,
-    };
-    let table = RouteTable { version: Revision(1), routes: vec![Arc::new(route)], body_bytes_max: 100_000 };
-    SitePlan { table: Some(Arc::new(table)), zones_revision: 1, ..SitePlan::default() }
-}
 
 fn make_request(kind: RequestKind, caller_timeout: Duration) -> CallerRequest {
     let (host, path) = (SmolStr::new_static("desk.example"), SmolStr::new_static("/bids/5c0e7a21d94b36f8"));
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -218,7 +218,7 @@
                 RunState::Stopping { taken_at: Some(at), .. } if record.is_held && at <= sent_at => {
                     (RunOutcome::Lost, EndSign::FencedUnlisted)
                 }
-                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if !record.is_held && at <= sent_at => {
+                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
                     let is_outdated = record.stop_cause == Some(StopCause::Outdated);
                     let sign = if is_outdated { EndSign::OutdatedUnlisted } else { EndSign::StopConfirmed };
                     (if is_unanswered { RunOutcome::Unanswered } else { RunOutcome::Stopped }, sign)
