Tell a worker whose process is gone from one that is silent

A lost run said worker_silent whether the worker's process had ended, hung or was cut off, and nothing told which of the lost runs had just been started. A poll whose connection is refused is now a reply of its own; the ends of runs then carry worker_gone, and worker_silent lists the runs that were starting.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -8,7 +8,7 @@
 use crate::operators::{CommandError, CommandResult};
 
 /// Events that do not name a request but may explain what happened to it.
-const CONTEXT_EVENTS: [&str; 20] = [
+const CONTEXT_EVENTS: [&str; 21] = [
     "agent_expired",
     "agent_found",
     "agent_lost",
@@ -26,6 +26,7 @@
     "store_back",
     "store_lost",
     "strangers_stopped",
+    "worker_crashed",
     "worker_found",
     "worker_lost",
     "worker_silent",
--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -236,6 +236,8 @@
     NotUnsettled,
     /// At an entry: the agent was silent for the loss timeout.
     AgentExpired,
+    /// The worker's address refused connections until its lease must have ended: the worker's process is gone.
+    WorkerGone,
 }
 
 impl EndSign {
@@ -255,6 +257,7 @@
             Self::AgentRestarted => "agent_restarted",
             Self::NotUnsettled => "not_unsettled",
             Self::AgentExpired => "agent_expired",
+            Self::WorkerGone => "worker_gone",
         }
     }
 }
--- a/crates/runs/src/agent/calls.rs
+++ b/crates/runs/src/agent/calls.rs
@@ -53,7 +53,7 @@
             self,
             Self::Start(_, StartReply::NotSent | StartReply::Unanswered)
                 | Self::Stop(_, StopReply::Unanswered)
-                | Self::LeasePoll(_, LeasePollReply::Unanswered)
+                | Self::LeasePoll(_, LeasePollReply::Refused | LeasePollReply::Unanswered)
         )
     }
 }
@@ -113,6 +113,8 @@
     Fenced,
     /// Another incarnation of the worker answered.
     OtherIncarnation,
+    /// The worker's address refused the connection: no process listens there.
+    Refused,
     /// No answer arrived.
     Unanswered,
 }
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -13,6 +13,9 @@
 /// running arrives within this time.
 const ENDED_RUN_RETENTION: Duration = Duration::from_millis(1_000);
 
+/// Time after which a run that its worker still runs has not crashed it by being started.
+const START_SURVIVAL_TIME: Duration = Duration::from_millis(50);
+
 /// The state of a run at the agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -304,6 +307,11 @@
         self.stop_cause = Some(StopCause::Outdated);
     }
 
+    /// Returns whether a worker that answered its last call at `answered_at` was seen running the run for some time.
+    pub fn has_survived_start(&self, answered_at: MonoTime) -> bool {
+        self.confirmed_at.is_some_and(|confirmed_at| answered_at >= confirmed_at + START_SURVIVAL_TIME)
+    }
+
     /// Returns the time since [`Self::started_at`].
     pub fn elapsed_since_start(&self, now: MonoTime) -> Duration {
         now.since(self.started_at)
--- a/crates/runs/src/agent/runner/call_pacing.rs
+++ b/crates/runs/src/agent/runner/call_pacing.rs
@@ -56,6 +56,11 @@
         self.unanswered_since.get_or_insert(now);
     }
 
+    /// Returns when the first call timed out since the worker last answered one.
+    pub(super) fn unanswered_since(&self) -> Option<MonoTime> {
+        self.unanswered_since
+    }
+
     /// Records the delay of an answer to the only call that it can belong to.
     pub(super) fn record_delay(&mut self, delay: Duration) {
         self.answer_delay = delay;
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -100,7 +100,7 @@
                 }
             }
             LeasePollReply::Fenced => self.raise_fencing_token(),
-            LeasePollReply::Unanswered => {}
+            LeasePollReply::Refused | LeasePollReply::Unanswered => {}
         }
     }
 
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -47,6 +47,8 @@
     pub due_at: MonoTime,
     /// Number of consecutive polls that were not answered.
     pub failures: u32,
+    /// Whether the worker's address refused the connection for the last of these polls.
+    pub is_refused: bool,
     /// When the poll was sent that returned the last list of runs.
     pub list_sent_at: Option<MonoTime>,
     /// How the incarnation answers calls.
@@ -124,8 +126,9 @@
             return;
         };
         let elapsed = self.now.since(sent_at);
+        let is_refused = reply == LeasePollReply::Refused;
         match &reply {
-            LeasePollReply::Unanswered => {}
+            LeasePollReply::Refused | LeasePollReply::Unanswered => {}
             // The worker answers early if a run has ended.
             LeasePollReply::Runs(list) if !list.ended.is_empty() => self.polls.pacing.limit_delay(elapsed),
             _ => self.polls.pacing.record_delay(elapsed.saturating_sub(wait)),
@@ -134,7 +137,8 @@
             LeasePollReply::Runs(list) => self.handle_run_list(sent_at, &list),
             LeasePollReply::Fenced => self.raise_fencing_token(),
             LeasePollReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::POLL_MISDIRECTED),
-            LeasePollReply::Unanswered => {
+            LeasePollReply::Refused | LeasePollReply::Unanswered => {
+                self.polls.is_refused = is_refused;
                 self.polls.failures += 1;
                 self.polls.due_at = self.now + POLL_RETRY_DELAY;
             }
--- a/crates/runs/src/agent/runner/silence.rs
+++ b/crates/runs/src/agent/runner/silence.rs
@@ -6,10 +6,13 @@
 //! begins anew, accepts them until it has received a call with a higher fencing token. The end of such a run is therefore held back
 //! until a list shows what became of it, for [`LeaseTerms::start_transit_max`](crate::LeaseTerms::start_transit_max) at most.
 
+use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::run_frames::{EndSign, RunOutcome};
 
 use super::RunnerControl;
 use crate::agent::calls::RunList;
+use crate::agent::run_table::RunState;
+use crate::log_fields::format_list;
 
 impl RunnerControl {
     /// Ends the runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended.
@@ -33,20 +36,32 @@
     /// Ends the runs that the worker can't run any more, and holds back the ends of those whose starts may still be executed.
     fn give_up_worker(&mut self) {
         let held = self.runs.select(|record| record.open_calls > 0);
-        let evidence = self.evidence(EndSign::WorkerSilent);
+        let sign = if self.polls.is_refused { EndSign::WorkerGone } else { EndSign::WorkerSilent };
+        let evidence = self.evidence(sign);
         let (failures, runs) = (self.polls.failures, self.runs.len());
-        self.log(format!("event=worker_silent failures={failures} runs={runs} held={} {evidence}", held.len()));
+        let starting = format_list(self.starting_runs());
+        self.log(format!("event=worker_silent failures={failures} runs={runs} held={} starting={starting} {evidence}", held.len()));
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.is_settled = false;
         }
         // Starts that are still in transit are rejected after the next call.
         self.fencing_token += 1;
         let ended = self.runs.select(|record| record.open_calls == 0);
-        ended.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost, EndSign::WorkerSilent));
+        ended.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Lost, sign));
         let now = self.now;
         self.runs.iter_mut().for_each(|(_, record)| record.hold(now));
     }
 
+    /// Returns the runs that a worker which answers no more may have been starting when it fell silent: it was sent their starts before
+    /// the first call without an answer, and was not seen running them for long.
+    fn starting_runs(&self) -> Vec<RunId> {
+        let (answered_at, silent_since) = (self.worker_answered_at, self.polls.pacing.unanswered_since());
+        self.runs.select(|record| {
+            let is_before = silent_since.is_none_or(|since| record.started_at <= since);
+            record.state != RunState::Queued && is_before && !record.has_survived_start(answered_at)
+        })
+    }
+
     /// Stops the runs that were held back and that the worker lists: it has started them meanwhile. Those that it does not list have
     /// ended once the poll was sent after they were held back, with the fencing token that was raised then.
     pub(super) fn stop_held_runs(&mut self, list: &RunList) {
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -24,6 +24,10 @@
 pub const BORN: u64 = 1_000;
 /// Time in milliseconds after which an unanswered call fails, in addition to the wait of a lease poll.
 pub const CALL_TIMEOUT: u64 = 80;
+/// Time from the start of a deadly task until its worker crashes, in milliseconds.
+const CRASH_DELAY: u64 = 10;
+/// Time from a crash until the worker is back, in milliseconds.
+pub const RESTART_DELAY: u64 = 3_000;
 /// Default run time of a run.
 const RUN_TIME: Duration = Duration::from_secs(20);
 
@@ -70,6 +74,10 @@
     pub is_lost: fn(&WorkerCall) -> bool,
     /// Whether the worker's process is gone: connections are refused, and no call is sent.
     pub refuses_connections: bool,
+    /// Tasks that crash the worker [`CRASH_DELAY`] after they have started there. It is back after [`RESTART_DELAY`].
+    pub deadly_tasks: BTreeSet<TaskId>,
+    /// The crashes of the worker, with the times and the tasks that caused them.
+    pub crashes: Vec<(u64, TaskId)>,
     /// Run time of the runs that start from now on.
     pub run_time: Duration,
     /// The calls that were lost, for a test to execute later.
@@ -95,6 +103,8 @@
     /// The last order of each run.
     pub orders: BTreeMap<RunId, OrderId>,
     now: u64,
+    /// The deadly task that is running, and when it crashes the worker.
+    fuse: Option<(u64, TaskId)>,
     /// How long the worker and its clock have stood still, in milliseconds.
     suspended: u64,
     last_call: Option<SentCall>,
@@ -133,6 +143,8 @@
             worker: WorkerModel::new(MonoTime::ZERO, WORKER, BORN, capacity),
             is_lost: |_| false,
             refuses_connections: false,
+            deadly_tasks: BTreeSet::new(),
+            crashes: Vec::new(),
             run_time: RUN_TIME,
             lost_calls: Vec::new(),
             holds_calls: false,
@@ -146,6 +158,7 @@
             is_drained: false,
             orders: BTreeMap::new(),
             now: 0,
+            fuse: None,
             suspended: 0,
             last_call: None,
             new_calls: Vec::new(),
@@ -251,6 +264,7 @@
         while self.now < end {
             self.now += 1;
             self.worker.advance(self.worker_time());
+            self.crash_worker();
             self.record_running();
             for (session, sent_at) in std::mem::take(&mut self.unanswered_reports) {
                 if self.answering.contains(&session) {
@@ -269,6 +283,25 @@
         }
     }
 
+    /// Ends the worker's process if a deadly task is due to crash it, and starts another one if the last has been gone for long enough.
+    fn crash_worker(&mut self) {
+        let deadly = self.worker.running().find(|run| self.deadly_tasks.contains(&run.task)).map(|run| run.task);
+        if let (None, Some(task)) = (self.fuse, deadly) {
+            self.fuse = Some((self.now + CRASH_DELAY, task));
+        }
+        if let Some((_, task)) = self.fuse.take_if(|(due_at, _)| self.now >= *due_at) {
+            self.crashes.push((self.now, task));
+            let born = BORN + self.now;
+            self.worker = WorkerModel::new(self.worker_time() + Duration::from_millis(RESTART_DELAY), WORKER, born, self.worker.capacity);
+            self.refuses_connections = true;
+        }
+        let is_back = self.crashes.last().is_some_and(|(at, _)| self.now == at + RESTART_DELAY);
+        if is_back {
+            self.refuses_connections = false;
+            self.beat(WORKER, self.worker.born);
+        }
+    }
+
     /// Advances the time to `end` while the agent's process is paused. Calls that it has sent are executed, and nothing is
     /// delivered to it. Returns the replies, for a test to deliver or to lose.
     pub fn advance_paused(&mut self, end: u64) -> Vec<(SentCall, WorkerReply)> {
@@ -369,6 +402,7 @@
             if self.refuses_connections {
                 let reply = match &sent.call {
                     WorkerCall::Start { run, .. } => WorkerReply::Start(*run, StartReply::NotSent),
+                    WorkerCall::LeasePoll { number, .. } => WorkerReply::LeasePoll(*number, LeasePollReply::Refused),
                     call => unanswered(call),
                 };
                 self.reply(&sent, reply);
