--- /dev/null
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -0,0 +1,90 @@
+//! Tests that a task which crashes each worker that starts it is given up, and harms as little else as possible.
+
+use std::time::Duration;
+
+use vanillacleat_core::run_frames::RunOutcome;
+use vanillacleat_runs::entry::{CallerAnswer, JobPhase};
+
+mod support;
+use support::agent_bench::{run, AgentBench};
+use support::peer_bench::PeerBench;
+
+/// Number of the caller whose job is deadly.
+const CALLER: u64 = 1;
+/// Number of crashes after which a task may be started again less than [`STARTS_AFTER_MAX`] times.
+const CRASHES_MAX: usize = 3;
+/// Number of starts after the third crash that breaks the limit.
+const STARTS_AFTER_MAX: usize = 3;
+/// Time after which a caller submits its job again after its entry was lost, in milliseconds.
+const RESUBMIT_AFTER: u64 = 1_300;
+
+/// Returns entries with eight agents. The caller's job is deadly.
+fn deadly_bench(entries: usize) -> PeerBench {
+    let mut bench = PeerBench::new(entries, 8);
+    bench.set_run_time(300);
+    bench.set_deadly(CALLER);
+    bench
+}
+
+/// Each start of the deadly task crashes its worker.
+fn starts(bench: &PeerBench) -> usize {
+    bench.crash_times().len()
+}
+
+// Guards against a task that takes down one worker after the other until its caller gives up (BUDGET).
+#[test]
+fn deadly_task_is_given_up() {
+    let mut bench = deadly_bench(1);
+    bench.submit(0, CALLER, 1);
+    bench.advance(bench.now() + 6_000);
+    assert!(starts(&bench) < CRASHES_MAX + STARTS_AFTER_MAX, "started {} times", starts(&bench));
+    assert_eq!(bench.answers_to(1), vec![&CallerAnswer::Ended(JobPhase::Failed)]);
+}
+
+// Guards against a deadly task that begins anew at another entry each time that its entry is lost (BUDGET).
+#[test]
+fn deadly_task_stays_known_when_its_entry_is_lost() {
+    let mut bench = deadly_bench(3);
+    bench.submit(0, CALLER, 1);
+    for round in 1..=7 {
+        let before = starts(&bench);
+        let lost_at = bench.now() + 700;
+        bench.advance(lost_at);
+        assert!(starts(&bench) <= before + 1, "an entry needs half a second to notice a crash");
+        bench.restart((round - 1) % 3);
+        bench.advance(lost_at + RESUBMIT_AFTER);
+        bench.resubmit(round % 3, CALLER, round as u64 + 1);
+    }
+    bench.advance(bench.now() + 6_000);
+    assert!(starts(&bench) < CRASHES_MAX + STARTS_AFTER_MAX, "started {} times", starts(&bench));
+}
+
+// Guards against starts that are sent to a worker whose process is known to be gone, and that come back only with the end of its lease.
+#[test]
+fn start_at_a_gone_worker_comes_back_at_once() {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(2_000);
+    bench.refuses_connections = true;
+    bench.advance(2_120);
+    bench.order_start(1, run(1, 1));
+    bench.advance(2_140);
+    assert_eq!(bench.outcomes(run(1, 1)), vec![RunOutcome::Closed]);
+}
+
+// Guards against starts that are rejected one after the other because the worker has less room than its last heartbeat said.
+#[test]
+fn rejection_for_lack_of_room_is_believed_until_the_next_heartbeat() {
+    let mut bench = AgentBench::new();
+    bench.run_time = Duration::from_secs(20);
+    bench.order_start(1, run(0, 1));
+    bench.advance(300);
+    bench.worker.capacity.millicores = 4_000;
+    for index in 1..=10 {
+        bench.order_start(1, run(index, 1));
+        bench.advance(bench.now() + 50);
+        assert_eq!(bench.outcomes(run(index, 1)), vec![RunOutcome::NoRoom]);
+    }
+    let rejected = bench.ends.iter().filter(|(_, _, end)| end.evidence.sign.as_str() == "rejected").count();
+    assert_eq!(rejected, 1);
+}
--- a/crates/runs/tests/support/peer_bench.rs
+++ b/crates/runs/tests/support/peer_bench.rs
@@ -159,6 +159,21 @@
         self.runs.iter().filter(|(_, run)| run.task.job == Self::job(caller)).copied().collect()
     }
 
+    /// Makes the only task of a caller's job crash each worker that starts it.
+    pub fn set_deadly(&mut self, caller: u64) {
+        let task = TaskId { job: Self::job(caller), step: 0, index: 0 };
+        self.agents.iter_mut().for_each(|agent| {
+            agent.deadly_tasks.insert(task);
+        });
+    }
+
+    /// Returns when workers have crashed, in order.
+    pub fn crash_times(&self) -> Vec<u64> {
+        let mut times: Vec<u64> = self.agents.iter().flat_map(|agent| &agent.crashes).map(|(at, _)| *at).collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Returns whether an entry has logged a line with this text.
     pub fn has_logged(&self, entry: usize, text: &str) -> bool {
         self.log_lines.iter().any(|(_, logged_by, line)| *logged_by == entry && line.contains(text))
