A model worker that crashes fails its open polls at once

The model that came with the failing tests answered the polls of the crashed process from its successor, and the second test lost each entry too late.

--- a/crates/runs/tests/deadly_tasks.rs
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -48,7 +48,7 @@
     bench.submit(0, CALLER, 1);
     for round in 1..=7 {
         let before = starts(&bench);
-        let lost_at = bench.now() + 700;
+        let lost_at = bench.now() + 400;
         bench.advance(lost_at);
         assert!(starts(&bench) <= before + 1, "an entry needs half a second to notice a crash");
         bench.restart((round - 1) % 3);
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -294,6 +294,7 @@
             let born = BORN + self.now;
             self.worker = WorkerModel::new(self.worker_time() + Duration::from_millis(RESTART_DELAY), WORKER, born, self.worker.capacity);
             self.refuses_connections = true;
+            self.fail_open_polls();
         }
         let is_back = self.crashes.last().is_some_and(|(at, _)| self.now == at + RESTART_DELAY);
         if is_back {
