Give up tasks under which workers have crashed, and tell all entries of the crashes

What callers saw: a task that crashes each worker which starts it took down one worker after the other until its caller gave up, ten in the worst case seen, and everybody else's runs with them. Cause: only runs that end as failed counted against a task. A run that was lost with its worker was repeated without bound, and what an entry knew of it was lost with the entry or the caller's connection.

An agent now records which runs its worker was running when it crashed, and which of them it was only starting, and reports them to all its entries, also on sessions that are opened within a minute. A crash is a refused connection until the lease has ended, or a list of another incarnation; a worker that is silent and answers again, or has announced that it leaves, has not crashed.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::caller_job::{ResourceAmount, RunId};
+use crate::caller_job::{ResourceAmount, RunId, TaskId};
 use crate::ids::{AgentId, Incarnation, ProcessStart, ServiceName, ZoneName};
 use crate::site_plan::SitePlan;
 use crate::units::Millis;
@@ -104,6 +104,21 @@
     pub progress: Vec<RunProgress>,
     /// The worker's speeds that have changed noticeably since they were last reported.
     pub speeds: Vec<RouteSpeed>,
+    /// Runs of all entries that the worker was running when it crashed, and that were not reported on this session before.
+    pub crashes: Vec<CrashedRun>,
+}
+
+/// A run that a worker was running when it crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// The run's task.
+    pub task: TaskId,
+    /// The job's route.
+    pub route: SmolStr,
+    /// Start of the worker's incarnation, in Unix milliseconds.
+    pub born: u64,
+    /// Whether the worker may have been starting the run when it crashed: it was not seen running it for some time before.
+    pub is_starting: bool,
 }
 
 /// How long the runs of one route take at a worker, relative to the callers' estimates.
--- a/crates/runs/src/agent/mod.rs
+++ b/crates/runs/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The control state of an agent that runs tasks under leases at one worker.
 
 mod calls;
+mod crash_records;
 mod entry_selection;
 mod run_speeds;
 mod run_table;
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -123,6 +123,8 @@
     /// When the agent first received an answer or a list that shows the run as running. Lease polls sent earlier may
     /// return a list without it.
     pub confirmed_at: Option<MonoTime>,
+    /// When a list last showed the run.
+    pub seen_at: Option<MonoTime>,
     /// Why the run is to be stopped; absent until then.
     pub stop_cause: Option<StopCause>,
     /// How often the stop call was sent.
@@ -307,9 +309,10 @@
         self.stop_cause = Some(StopCause::Outdated);
     }
 
-    /// Returns whether a worker that answered its last call at `answered_at` was seen running the run for some time.
-    pub fn has_survived_start(&self, answered_at: MonoTime) -> bool {
-        self.confirmed_at.is_some_and(|confirmed_at| answered_at >= confirmed_at + START_SURVIVAL_TIME)
+    /// Returns whether the worker was seen running the run for some time.
+    pub fn has_survived_start(&self) -> bool {
+        let (confirmed_at, seen_at) = (self.confirmed_at, self.seen_at);
+        confirmed_at.zip(seen_at).is_some_and(|(confirmed_at, seen_at)| seen_at >= confirmed_at + START_SURVIVAL_TIME)
     }
 
     /// Returns the time since [`Self::started_at`].
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -2,6 +2,7 @@
 //! leased runs there.
 
 mod call_pacing;
+mod crashes;
 mod incarnations;
 mod lease_polls;
 mod orders;
@@ -22,6 +23,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::calls::{WorkerCall, WorkerReply};
+use super::crash_records::CrashRecords;
 use super::entry_selection::EntrySelection;
 use super::run_speeds::RunSpeeds;
 use super::run_table::{RunState, RunTable, StopCause};
@@ -154,6 +156,7 @@
     /// Changes with each incarnation that begins or ends, so that replies to calls of an earlier one are ignored.
     incarnation_number: u64,
     runs: RunTable,
+    crash_records: CrashRecords,
     /// The speed of the worker, learned from the runs of all entries.
     speeds: RunSpeeds,
     sessions: BTreeMap<SessionId, SessionLease>,
@@ -185,6 +188,7 @@
             former: None,
             incarnation_number: 0,
             runs: RunTable::default(),
+            crash_records: CrashRecords::default(),
             speeds: RunSpeeds::default(),
             sessions: BTreeMap::new(),
             last_session_number: 0,
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -163,6 +163,7 @@
     /// Stops calling the worker's incarnation. Its runs are stopped if it is found again, and otherwise end as the module's
     /// documentation says.
     pub(super) fn lose_incarnation(&mut self, end: IncarnationEnd) {
+        self.suspect_crash();
         let Some(incarnation) = self.incarnation.take() else {
             return;
         };
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -150,6 +150,7 @@
         if self.incarnation.as_ref().is_some_and(|incarnation| list.born != 0 && list.born != incarnation.notice.born) {
             return self.handle_list_of_other(list);
         }
+        self.resolve_suspected_crash();
         self.stop_held_runs(list);
         self.end_former_runs();
         let now = self.now;
@@ -193,6 +194,7 @@
                 continue;
             };
             record.is_listed = true;
+            record.seen_at = Some(listed_at);
             if matches!(record.state, RunState::Starting { .. } | RunState::Running { .. }) {
                 record.confirmed_at.get_or_insert(listed_at);
                 record.state = RunState::Running { percent: task.percent, listed_at };
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -97,6 +97,7 @@
             leased_from,
             started_at: self.now,
             confirmed_at: None,
+            seen_at: None,
             stop_cause: None,
             stop_calls: 0,
             open_calls: 0,
--- a/crates/runs/src/agent/runner/silence.rs
+++ b/crates/runs/src/agent/runner/silence.rs
@@ -6,13 +6,11 @@
 //! begins anew, accepts them until it has received a call with a higher fencing token. The end of such a run is therefore held back
 //! until a list shows what became of it, for [`LeaseTerms::start_transit_max`](crate::LeaseTerms::start_transit_max) at most.
 
-use vanillacleat_core::caller_job::RunId;
 use vanillacleat_core::run_frames::{EndSign, RunOutcome};
 
+use super::crashes::format_starting;
 use super::RunnerControl;
 use crate::agent::calls::RunList;
-use crate::agent::run_table::RunState;
-use crate::log_fields::format_list;
 
 impl RunnerControl {
     /// Ends the runs of a worker that does not answer polls, or of which no incarnation is known, once its lease must have ended.
@@ -39,8 +37,12 @@
         let sign = if self.polls.is_refused { EndSign::WorkerGone } else { EndSign::WorkerSilent };
         let evidence = self.evidence(sign);
         let (failures, runs) = (self.polls.failures, self.runs.len());
-        let starting = format_list(self.starting_runs());
+        self.suspect_crash();
+        let starting = format_starting(self.crash_records.suspected());
         self.log(format!("event=worker_silent failures={failures} runs={runs} held={} starting={starting} {evidence}", held.len()));
+        if self.polls.is_refused {
+            self.confirm_crash("refused");
+        }
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.is_settled = false;
         }
@@ -52,16 +54,6 @@
         self.runs.iter_mut().for_each(|(_, record)| record.hold(now));
     }
 
-    /// Returns the runs that a worker which answers no more may have been starting when it fell silent: it was sent their starts before
-    /// the first call without an answer, and was not seen running them for long.
-    fn starting_runs(&self) -> Vec<RunId> {
-        let (answered_at, silent_since) = (self.worker_answered_at, self.polls.pacing.unanswered_since());
-        self.runs.select(|record| {
-            let is_before = silent_since.is_none_or(|since| record.started_at <= since);
-            record.state != RunState::Queued && is_before && !record.has_survived_start(answered_at)
-        })
-    }
-
     /// Stops the runs that were held back and that the worker lists: it has started them meanwhile. Those that it does not list have
     /// ended once the poll was sent after they were held back, with the fencing token that was raised then.
     pub(super) fn stop_held_runs(&mut self, list: &RunList) {
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -30,6 +30,8 @@
     pub reported_used_by_others: ResourceAmount,
     /// The worker's speeds as last reported, by route.
     pub reported_speeds: BTreeMap<SmolStr, RouteSpeed>,
+    /// Number of the last crash record that was reported.
+    pub reported_crash: u64,
     /// When the last report was sent.
     pub reported_at: Option<MonoTime>,
     /// When the last report that needs an answer was sent.
@@ -54,6 +56,7 @@
             reported_closed: true,
             reported_used_by_others: ResourceAmount::default(),
             reported_speeds: BTreeMap::new(),
+            reported_crash: 0,
             reported_at: None,
             asked_at: None,
             received_at: None,
--- a/crates/runs/src/agent/worker_incarnation.rs
+++ b/crates/runs/src/agent/worker_incarnation.rs
@@ -82,6 +82,11 @@
         self.notice = WorkerNotice { is_ready, ..notice };
     }
 
+    /// Returns whether the worker has announced that it leaves.
+    pub fn has_given_notice(&self) -> bool {
+        self.is_leaving || (self.is_announced && !self.notice.is_ready)
+    }
+
     /// Returns whether the worker accepts starts and is known to run nothing that the agent does not know.
     pub fn accepts_starts(&self) -> bool {
         self.is_settled && self.notice.is_ready && !self.is_leaving
--- /dev/null
+++ b/crates/runs/src/entry/crash_log.rs
@@ -0,0 +1,109 @@
+//! Which tasks have crashed their workers, as the agents report it to all entries.
+//!
+//! A crash takes all runs at the worker along, and only one of them may have caused it. Most tasks that crash a worker do so when they
+//! start, so that a run which the worker was only just starting counts for more than one that had survived its start.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use vanillacleat_core::caller_job::{CallerJobId, TaskId};
+use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::run_frames::CrashedRun;
+use vanillacleat_core::units::MonoTime;
+
+/// Number of workers that crashed while they started a task from which the task is given up.
+const STARTING_CRASHES_MAX: usize = 2;
+/// Number of workers that crashed under a task, whenever it had started, from which the task is given up.
+const CRASHES_MAX: usize = 3;
+/// How long the crashes under a task are retained.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of tasks whose crashes are retained. The oldest are evicted first.
+const TASKS_MAX: usize = 4_096;
+
+/// What the crashes under a task show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CrashVerdict {
+    /// No worker is known to have crashed when it started the task.
+    Harmless,
+    /// A worker has crashed when it started the task.
+    Suspect,
+    /// So many workers have crashed under the task that it is not started again.
+    Deadly,
+}
+
+/// One worker that crashed under a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct WorkerCrash {
+    agent: AgentId,
+    /// Start of the worker's incarnation, in Unix milliseconds.
+    born: u64,
+    is_starting: bool,
+}
+
+/// Holds the crashes under recent tasks, of all entries.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    crashes: BTreeMap<TaskId, Vec<WorkerCrash>>,
+    /// The tasks in the order of their first crashes.
+    order: VecDeque<(MonoTime, TaskId)>,
+}
+
+impl CrashLog {
+    /// Records a run that an agent's worker was running when it crashed. Returns the verdict on its task, or `None` if the crash was
+    /// known before.
+    pub fn record(&mut self, now: MonoTime, agent: &AgentId, run: &CrashedRun) -> Option<CrashVerdict> {
+        self.expire(now);
+        if !self.crashes.contains_key(&run.task) {
+            self.order.push_back((now, run.task));
+        }
+        let crashes = self.crashes.entry(run.task).or_default();
+        let crash = WorkerCrash { agent: agent.clone(), born: run.born, is_starting: run.is_starting };
+        if crashes.len() >= CRASHES_MAX || crashes.contains(&crash) {
+            return None;
+        }
+        crashes.push(crash);
+        Some(self.verdict(&run.task))
+    }
+
+    /// Returns what the crashes under a task show.
+    pub fn verdict(&self, task: &TaskId) -> CrashVerdict {
+        self.crashes.get(task).map_or(CrashVerdict::Harmless, |crashes| judge(crashes))
+    }
+
+    /// Returns the worst verdict on the tasks of a job.
+    pub fn job_verdict(&self, job: CallerJobId) -> CrashVerdict {
+        let (first, last) = (TaskId { job, step: 0, index: 0 }, TaskId { job, step: u16::MAX, index: u16::MAX });
+        let verdicts = self.crashes.range(first..=last).map(|(_, crashes)| judge(crashes));
+        verdicts.max().unwrap_or(CrashVerdict::Harmless)
+    }
+
+    /// Returns the number of tasks under which workers have crashed recently.
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns whether no worker has crashed recently.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    fn expire(&mut self, now: MonoTime) {
+        let is_due = |order: &VecDeque<(MonoTime, TaskId)>| {
+            order.len() >= TASKS_MAX || order.front().is_some_and(|(at, _)| now.since(*at) >= RETENTION)
+        };
+        while is_due(&self.order) {
+            if let Some((_, task)) = self.order.pop_front() {
+                self.crashes.remove(&task);
+            }
+        }
+    }
+}
+
+fn judge(crashes: &[WorkerCrash]) -> CrashVerdict {
+    let starting = crashes.iter().filter(|crash| crash.is_starting).count();
+    match starting {
+        _ if starting >= STARTING_CRASHES_MAX || crashes.len() >= CRASHES_MAX => CrashVerdict::Deadly,
+        0 => CrashVerdict::Harmless,
+        _ => CrashVerdict::Suspect,
+    }
+}
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -1,6 +1,7 @@
 //! The control state of an entry: event handling, periodic maintenance, draining and the dump for operators.
 
 mod answering;
+mod crashes;
 mod homes;
 mod peers;
 mod performance;
@@ -20,6 +21,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_api::{CallerAnswer, CallerRequest};
+use super::crash_log::CrashLog;
 use super::entry_load::EntryLoad;
 use super::job_homes::JobHomes;
 use super::job_table::JobTable;
@@ -173,6 +175,7 @@
     job_table: JobTable,
     worker_registry: WorkerRegistry,
     route_times: RouteTimes,
+    crash_log: CrashLog,
     load: EntryLoad,
     peer_registry: PeerRegistry,
     job_homes: JobHomes,
@@ -223,6 +226,7 @@
             job_table: JobTable::default(),
             worker_registry,
             route_times: RouteTimes::default(),
+            crash_log: CrashLog::default(),
             load,
             peer_registry,
             job_homes: JobHomes::default(),
@@ -427,6 +431,7 @@
             "peers": self.dump_peers(),
             "claims": self.dump_claims(),
             "workers": workers.collect::<Vec<_>>(),
+            "crash_suspects": self.crash_log.len(),
             "speeds_refused": self.worker_registry.refused_speeds(),
             "cold_factor": self.worker_registry.speed_table().cold_factor(),
             "jobs": jobs.collect::<Vec<_>>(),
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -9,7 +9,8 @@
 use vanillacleat_core::site_plan::RouteRule;
 
 use super::{DispatchAction, DispatchControl, Measurement};
-use crate::entry::caller_api::{parse_target, CallerAnswer, CallerRequest, JobDraft, PathTarget, RequestKind};
+use crate::entry::caller_api::{parse_target, CallerAnswer, CallerRequest, JobDraft, JobPhase, PathTarget, RequestKind};
+use crate::entry::crash_log::CrashVerdict;
 use crate::entry::job_order::{resubmit_delay, JobTimes};
 use crate::entry::job_table::JobEffect;
 use crate::entry::open_job::OpenJob;
@@ -87,6 +88,10 @@
     /// Admits a job whose home is here, unless it can't start in time.
     pub(super) fn admit_job(&mut self, reply: ReplyId, job: Arc<CallerJob>, route: &Arc<RouteRule>, times: JobTimes) {
         let id = job.id;
+        if self.crash_log.job_verdict(id) == CrashVerdict::Deadly {
+            self.log(format!("event=job_failed job={id} cause=deadly"));
+            return self.reply(reply, CallerAnswer::Ended(JobPhase::Failed));
+        }
         let delay = self.start_delay(&times, route);
         let is_open = self.job_table.get(&id).is_some();
         let delay_ms = delay.map_or_else(|| "unknown".to_owned(), |delay| delay.as_millis().to_string());
--- /dev/null
+++ b/crates/runs/src/entry/dispatch/crashes.rs
@@ -0,0 +1,32 @@
+//! Tasks that crash their workers.
+
+use vanillacleat_core::ids::AgentId;
+use vanillacleat_core::run_frames::CrashedRun;
+
+use super::DispatchControl;
+use crate::entry::crash_log::CrashVerdict;
+
+/// Maximum number of crashed runs that are read from one report.
+const CRASHED_RUNS_MAX: usize = 256;
+
+impl DispatchControl {
+    /// Records the runs that an agent's worker was running when it crashed, and gives up the jobs of tasks that have crashed too many.
+    pub(super) fn record_crashes(&mut self, agent: &AgentId, runs: &[CrashedRun]) {
+        for run in runs.iter().take(CRASHED_RUNS_MAX) {
+            let Some(verdict) = self.crash_log.record(self.now, agent, run) else {
+                continue;
+            };
+            if run.is_starting || verdict == CrashVerdict::Deadly {
+                let is_open = self.job_table.get(&run.task.job).is_some();
+                self.log(format!(
+                    "event=task_crashed task={} agent={agent} born={} starting={} verdict={verdict:?} open={is_open}",
+                    run.task, run.born, run.is_starting
+                ));
+            }
+            if verdict == CrashVerdict::Deadly {
+                let effects = self.job_table.fail(self.now, &run.task.job);
+                self.apply_effects(effects);
+            }
+        }
+    }
+}
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -109,6 +109,7 @@
             }
             return;
         };
+        self.record_crashes(&agent, &report.crashes);
         for end in &report.ends {
             self.handle_run_end(&agent, end);
         }
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -18,6 +18,9 @@
 /// Maximum number of final phases that are kept. The oldest are evicted first.
 const FINAL_PHASES_MAX: usize = 20_000;
 
+/// Number of runs of a task that are lost, whatever the evidence, from which the task is given up: it may be what its workers are lost to.
+const LOSSES_MAX: u32 = 5;
+
 /// The reason that callers receive when a job is abandoned after tasks of it may have run.
 const ABANDONED_REASON: &str = "no time was left";
 
@@ -138,6 +141,14 @@
         Some(self.end_job(now, id, JobPhase::Cancelled, CallerAnswer::Cancelled))
     }
 
+    /// Ends a job as failed, unless it has ended or is not open.
+    pub fn fail(&mut self, now: MonoTime, id: &CallerJobId) -> Vec<JobEffect> {
+        if self.jobs.get(id).is_none_or(|job| job.final_phase.is_some()) {
+            return Vec::new();
+        }
+        self.end_job(now, id, JobPhase::Failed, CallerAnswer::Ended(JobPhase::Failed))
+    }
+
     /// Refuses and removes a job of which no task has run.
     pub fn refuse(&mut self, id: &CallerJobId, reason: &'static str, retry_after: Duration) -> Vec<JobEffect> {
         let (waiters, arrival) = (self.take_waiters(id), self.arrival(id));
@@ -204,9 +215,12 @@
             slot.failures += 1;
             slot.excluded.push(agent.clone());
         }
-        let failures = slot.failures;
+        if end.outcome == RunOutcome::Lost {
+            slot.losses += 1;
+        }
+        let (failures, losses) = (slot.failures, slot.losses);
         job.has_run |= end.outcome.has_run();
-        let has_too_many_failures = job.is_active() && failures >= job.route.attempts_max.max(1);
+        let has_too_many_failures = failures >= job.route.attempts_max.max(1) || losses >= LOSSES_MAX;
         let effects = match (job.is_active(), job.is_done()) {
             (_, true) => self.end_job(now, &id, JobPhase::Succeeded, CallerAnswer::Ended(JobPhase::Succeeded)),
             (true, false) if has_too_many_failures => self.end_job(now, &id, JobPhase::Failed, CallerAnswer::Ended(JobPhase::Failed)),
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! [`WorkerRegistry`] and the observed run times in [`RouteTimes`].
 
 mod caller_api;
+mod crash_log;
 mod dispatch;
 mod entry_load;
 mod job_homes;
@@ -20,6 +21,7 @@
 mod worker_speeds;
 
 pub use caller_api::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
+pub use crash_log::{CrashLog, CrashVerdict};
 pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, Measurement, PeerAction, PeerEvent};
 pub use entry_load::EntryLoad;
 pub use job_order::{core_share, job_age, queue_wait, resubmit_delay, JobRank, JobTimes};
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -51,6 +51,8 @@
     pub runs: u32,
     /// The number of runs that failed.
     pub failures: u32,
+    /// The number of runs that were lost with their workers or agents.
+    pub losses: u32,
     /// Agents that should not run the task again: it failed there or was relocated from there.
     pub excluded: Vec<AgentId>,
     /// The last run that ended.
@@ -85,7 +87,7 @@
 impl OpenJob {
     /// Returns an open job whose tasks all wait for their first run.
     pub fn new(job: Arc<CallerJob>, route: Arc<RouteRule>, now: MonoTime, times: JobTimes) -> Self {
-        let slot = TaskSlot { state: SlotState::Waiting, runs: 0, failures: 0, excluded: Vec::new(), former_run: None };
+        let slot = TaskSlot { state: SlotState::Waiting, runs: 0, failures: 0, losses: 0, excluded: Vec::new(), former_run: None };
         let steps = job.steps.iter().map(|step| vec![slot.clone(); usize::from(step.count)]).collect();
         Self {
             job,
--- a/crates/runs/tests/deadly_tasks.rs
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -1,12 +1,15 @@
 //! Tests that a task which crashes each worker that starts it is given up, and harms as little else as possible.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use vanillacleat_core::run_frames::RunOutcome;
+use vanillacleat_core::run_frames::{RunFrame, RunOutcome};
+use vanillacleat_runs::agent::RunnerEvent;
 use vanillacleat_runs::entry::{CallerAnswer, JobPhase};
+use vanillacleat_standin::WorkerModel;
 
 mod support;
-use support::agent_bench::{run, AgentBench};
+use support::agent_bench::{run, AgentBench, BORN, WORKER};
 use support::peer_bench::PeerBench;
 
 /// Number of the caller whose job is deadly.
@@ -88,3 +91,62 @@
     let rejected = bench.ends.iter().filter(|(_, _, end)| end.evidence.sign.as_str() == "rejected").count();
     assert_eq!(rejected, 1);
 }
+
+/// Returns the tasks that the agent has reported as those under which its worker crashed, with whether it was starting them.
+fn crashed_tasks(bench: &AgentBench) -> BTreeSet<(u16, bool)> {
+    let reports = bench.sent_frames.iter().filter_map(|(_, frame)| if let RunFrame::Report(report) = frame { Some(report) } else { None });
+    reports.flat_map(|report| &report.crashes).map(|run| (run.task.index, run.is_starting)).collect()
+}
+
+/// Returns an agent whose worker has run a run for two seconds, and another one for some milliseconds.
+fn bench_with_old_and_new_run() -> AgentBench {
+    let mut bench = AgentBench::new();
+    bench.order_start(1, run(0, 1));
+    bench.advance(2_000);
+    bench.order_start(2, run(1, 1));
+    bench.advance(2_010);
+    bench
+}
+
+// Guards against a crash that counts against tasks which had survived their start, and against one that only the home of a task learns of.
+#[test]
+fn crash_is_reported_to_every_entry_with_what_was_starting() {
+    let mut bench = bench_with_old_and_new_run();
+    bench.deadly_tasks.insert(run(1, 1).task);
+    bench.advance(2_700);
+    assert_eq!(crashed_tasks(&bench), BTreeSet::from([(0, false), (1, true)]));
+    let sessions = bench.sent_frames.iter().filter(|(_, frame)| matches!(frame, RunFrame::Report(report) if !report.crashes.is_empty()));
+    assert_eq!(sessions.map(|(session, _)| session.0).collect::<Vec<_>>(), vec![1, 2]);
+}
+
+// Guards against a worker that was only cut off or silent for a while, and whose tasks are taken for deadly.
+#[test]
+fn silent_worker_is_no_crash_unless_another_incarnation_follows() {
+    let mut bench = bench_with_old_and_new_run();
+    bench.is_lost = |_| true;
+    bench.advance(4_000);
+    assert_eq!(bench.outcomes(run(1, 1)), vec![RunOutcome::Lost]);
+    bench.is_lost = |_| false;
+    bench.advance(5_000);
+    assert_eq!(crashed_tasks(&bench), BTreeSet::new());
+    bench.order_start(1, run(2, 1));
+    bench.advance(5_010);
+    bench.is_lost = |_| true;
+    bench.advance(6_000);
+    assert_eq!(crashed_tasks(&bench), BTreeSet::new());
+    bench.is_lost = |_| false;
+    bench.worker = WorkerModel::new(bench.worker_time(), WORKER, BORN + 6_000, bench.worker.capacity);
+    bench.beat(WORKER, BORN + 6_000);
+    bench.advance(7_000);
+    assert_eq!(crashed_tasks(&bench), BTreeSet::from([(2, true)]));
+}
+
+// Guards against a planned exit that counts as a crash.
+#[test]
+fn worker_that_leaves_has_not_crashed() {
+    let mut bench = bench_with_old_and_new_run();
+    bench.deliver(RunnerEvent::WorkerDeregistered(WORKER.into()));
+    bench.refuses_connections = true;
+    bench.advance(3_000);
+    assert_eq!((bench.outcomes(run(1, 1)), crashed_tasks(&bench)), (vec![RunOutcome::Lost], BTreeSet::new()));
+}
