--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -19,6 +19,8 @@
     Report(RunReport),
     /// Sends the newest site plan that the agent knows.
     Plan(Box<SitePlan>),
+    /// Reports the runs of all entries that the worker was running when it crashed. Sent before the report of their ends.
+    Crashes(Vec<CrashedRun>),
 }
 
 /// Introduces an agent to an entry.
@@ -104,8 +106,6 @@
     pub progress: Vec<RunProgress>,
     /// The worker's speeds that have changed noticeably since they were last reported.
     pub speeds: Vec<RouteSpeed>,
-    /// Runs of all entries that the worker was running when it crashed, and that were not reported on this session before.
-    pub crashes: Vec<CrashedRun>,
 }
 
 /// A run that a worker was running when it crashed.
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -140,6 +140,11 @@
         let capacity_interval = CAPACITY_INTERVAL_PER_SESSION * entries;
         let (used, used_by_session) = (self.runs.used(), self.runs.used_by_owner());
         for (session, lease) in &mut self.sessions {
+            if lease.reported_crash < self.crash_records.last_number() {
+                let crashes = self.crash_records.since(lease.reported_crash);
+                lease.reported_crash = self.crash_records.last_number();
+                self.actions.push(RunnerAction::Send { session: *session, frame: RunFrame::Crashes(crashes) });
+            }
             let used_by_entry = used_by_session.get(session).copied();
             let used_by_others = used.saturating_sub(&used_by_entry.unwrap_or_default());
             let is_closed = !accepts_starts || lease.is_retiring;
@@ -148,9 +153,7 @@
             let is_ask_due = age(lease.asked_at) >= ask_interval;
             let is_capacity_due = age(lease.reported_at) >= capacity_interval
                 && is_significant(capacity, lease.reported_used_by_others.millicores, used_by_others.millicores, used.millicores);
-            let has_crashed = lease.reported_crash < self.crash_records.last_number();
-            let has_news =
-                has_crashed || !lease.ends.is_empty() || lease.reported_worker != worker_info || lease.reported_closed != is_closed;
+            let has_news = !lease.ends.is_empty() || lease.reported_worker != worker_info || lease.reported_closed != is_closed;
             if !is_ask_due && !is_capacity_due && !has_news {
                 continue;
             }
@@ -168,9 +171,7 @@
                 plan_version: self.plan.version().0,
                 progress: if used_by_entry.is_some() { self.runs.progress_of(*session) } else { Vec::new() },
                 speeds: self.speeds.news(&mut lease.reported_speeds),
-                crashes: self.crash_records.since(lease.reported_crash),
             };
-            lease.reported_crash = self.crash_records.last_number();
             lease.reported_worker.clone_from(&worker_info);
             lease.reported_closed = is_closed;
             lease.reported_used_by_others = used_by_others;
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -28,6 +28,7 @@
             RunFrame::Hello(hello) => self.handle_hello(session, &hello),
             RunFrame::Report(report) => self.handle_report(session, &report),
             RunFrame::Plan(plan) => self.handle_plan(&plan, "agent"),
+            RunFrame::Crashes(runs) => self.record_crashes(session, &runs),
         }
     }
 
@@ -109,7 +110,6 @@
             }
             return;
         };
-        self.record_crashes(&agent, &report.crashes);
         for end in &report.ends {
             self.handle_run_end(&agent, end);
         }
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -214,6 +214,11 @@
         self.refused_speeds
     }
 
+    /// Returns the agent that has opened a session.
+    pub fn agent_of(&self, session: SessionId) -> Option<&AgentId> {
+        self.by_session.get(&session)
+    }
+
     /// Returns the state of an agent's worker.
     pub fn get(&self, agent: &AgentId) -> Option<&WorkerCapacity> {
         self.workers.get(agent)
--- a/crates/runs/tests/deadly_tasks.rs
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -94,8 +94,8 @@
 
 /// Returns the tasks that the agent has reported as those under which its worker crashed, with whether it was starting them.
 fn crashed_tasks(bench: &AgentBench) -> BTreeSet<(u16, bool)> {
-    let reports = bench.sent_frames.iter().filter_map(|(_, frame)| if let RunFrame::Report(report) = frame { Some(report) } else { None });
-    reports.flat_map(|report| &report.crashes).map(|run| (run.task.index, run.is_starting)).collect()
+    let frames = bench.sent_frames.iter().filter_map(|(_, frame)| if let RunFrame::Crashes(runs) = frame { Some(runs) } else { None });
+    frames.flatten().map(|run| (run.task.index, run.is_starting)).collect()
 }
 
 /// Returns an agent whose worker has run a run for two seconds, and another one for some milliseconds.
@@ -115,7 +115,7 @@
     bench.deadly_tasks.insert(run(1, 1).task);
     bench.advance(2_700);
     assert_eq!(crashed_tasks(&bench), BTreeSet::from([(0, false), (1, true)]));
-    let sessions = bench.sent_frames.iter().filter(|(_, frame)| matches!(frame, RunFrame::Report(report) if !report.crashes.is_empty()));
+    let sessions = bench.sent_frames.iter().filter(|(_, frame)| matches!(frame, RunFrame::Crashes(_)));
     assert_eq!(sessions.map(|(session, _)| session.0).collect::<Vec<_>>(), vec![1, 2]);
 }
 
