Return starts at once that no connection carried to the worker

What callers saw: jobs that were placed on a worker after it had crashed came back half a second later, and counted as lost with it. Cause: an agent accepted starts while its worker's address refused connections, repeated their calls, and let them end with the lease of the runs before them. Nothing had been sent, so nothing had to be waited for.

--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -47,8 +47,8 @@
     pub due_at: MonoTime,
     /// Number of consecutive polls that were not answered.
     pub failures: u32,
-    /// Whether the worker's address refused the connection for the last of these polls.
-    pub is_refused: bool,
+    /// Whether the last poll without an answer was one for which the worker's address refused the connection.
+    pub was_refused: bool,
     /// When the poll was sent that returned the last list of runs.
     pub list_sent_at: Option<MonoTime>,
     /// How the incarnation answers calls.
@@ -79,6 +79,13 @@
     pub wait: Duration,
 }
 
+impl PollState {
+    /// Returns whether the worker's address refuses connections, as far as the last poll has shown.
+    pub fn is_refused(&self) -> bool {
+        self.failures > 0 && self.was_refused
+    }
+}
+
 impl RunnerControl {
     /// Sends the next lease poll if one is due. Polls are needed in three cases: the worker is not settled (it may be
     /// running something that this agent doesn't know), it may be running something that this agent started, or an end
@@ -138,7 +145,7 @@
             LeasePollReply::Fenced => self.raise_fencing_token(),
             LeasePollReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::POLL_MISDIRECTED),
             LeasePollReply::Refused | LeasePollReply::Unanswered => {
-                self.polls.is_refused = is_refused;
+                self.polls.was_refused = is_refused;
                 self.polls.failures += 1;
                 self.polls.due_at = self.now + POLL_RETRY_DELAY;
             }
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -147,7 +147,7 @@
         let is_in_service = self.drain_started_at.is_none() && !self.plan.zones_out.contains(&self.options.zone);
         // A start takes part in the lease that covers all runs, which is short while one of them has to end.
         let has_lease = self.next_worker_lease() * 2 > self.options.lease_terms.worker_lease;
-        is_ready && is_in_service && has_lease && !self.has_overdue_start()
+        is_ready && is_in_service && has_lease && !self.polls.is_refused() && !self.has_overdue_start()
     }
 
     /// Returns whether the worker started recently and is still slow, which says nothing of its usual speed.
@@ -284,11 +284,22 @@
             }
             StartReply::Shed if self.is_first_start_call(&run) => self.finish_run(&run, RunOutcome::Shed, EndSign::Rejected),
             StartReply::OtherIncarnation => self.lose_incarnation(IncarnationEnd::START_MISDIRECTED),
+            StartReply::NotSent if self.is_first_start_call(&run) => self.return_start(&run),
             // The start is sent again or abandoned by `retry_starts`.
             StartReply::Shed | StartReply::NotSent | StartReply::Unanswered => {}
         }
     }
 
+    /// Returns a start that no connection carried to the worker. No further one is accepted until the worker has answered a poll.
+    fn return_start(&mut self, run: &RunId) {
+        self.finish_run(run, RunOutcome::Closed, EndSign::NeverSent);
+        if !self.runs.has_runs_at_worker() {
+            if let Some(incarnation) = &mut self.incarnation {
+                incarnation.is_settled = false;
+            }
+        }
+    }
+
     fn is_first_start_call(&self, run: &RunId) -> bool {
         self.runs.get(run).is_some_and(|record| matches!(record.state, RunState::Starting { tries: 1, .. }))
     }
--- a/crates/runs/src/agent/runner/silence.rs
+++ b/crates/runs/src/agent/runner/silence.rs
@@ -34,13 +34,13 @@
     /// Ends the runs that the worker can't run any more, and holds back the ends of those whose starts may still be executed.
     fn give_up_worker(&mut self) {
         let held = self.runs.select(|record| record.open_calls > 0);
-        let sign = if self.polls.is_refused { EndSign::WorkerGone } else { EndSign::WorkerSilent };
+        let sign = if self.polls.is_refused() { EndSign::WorkerGone } else { EndSign::WorkerSilent };
         let evidence = self.evidence(sign);
         let (failures, runs) = (self.polls.failures, self.runs.len());
         self.suspect_crash();
         let starting = format_starting(self.crash_records.suspected());
         self.log(format!("event=worker_silent failures={failures} runs={runs} held={} starting={starting} {evidence}", held.len()));
-        if self.polls.is_refused {
+        if self.polls.is_refused() {
             self.confirm_crash("refused");
         }
         if let Some(incarnation) = &mut self.incarnation {
--- a/crates/runs/tests/deadly_tasks.rs
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -150,3 +150,23 @@
     bench.advance(3_000);
     assert_eq!((bench.outcomes(run(1, 1)), crashed_tasks(&bench)), (vec![RunOutcome::Lost], BTreeSet::new()));
 }
+
+// Guards against starts that an idle worker's agent accepts one after the other although the worker's process is gone.
+#[test]
+fn idle_worker_that_is_gone_accepts_no_starts_until_it_answers() {
+    let mut bench = AgentBench::new();
+    bench.advance(2_000);
+    bench.refuses_connections = true;
+    for index in 0..5 {
+        bench.order_start(1, run(index, 1));
+        bench.advance(bench.now() + 60);
+        assert_eq!(bench.outcomes(run(index, 1)), vec![RunOutcome::Closed]);
+    }
+    let started = bench.log_lines.iter().filter(|(_, line)| line.starts_with("event=run_started")).count();
+    assert_eq!(started, 1);
+    bench.refuses_connections = false;
+    bench.advance(3_000);
+    bench.order_start(1, run(6, 1));
+    bench.advance(3_010);
+    assert!(bench.is_running(run(6, 1)));
+}
--- a/crates/runs/tests/worker_loss.rs
+++ b/crates/runs/tests/worker_loss.rs
@@ -278,7 +278,7 @@
 }
 
 // Guards against tasks of a worker that is lost for good, which are placed again later than its lease requires: the ends of runs that
-// it had confirmed are held back by nothing, nor are those of starts that no connection carried to it.
+// it had confirmed are held back by nothing, and starts that no connection carried to it come back at once.
 #[test]
 fn runs_of_a_lost_worker_end_with_its_lease() {
     let mut bench = AgentBench::new();
@@ -290,7 +290,7 @@
     bench.advance(2_000 + 150 + 520);
     let reported = |run| bench.ends.iter().find(|(_, _, end)| end.run == run).map(|(_, at, end)| (*at, end.outcome));
     assert_eq!(reported(run(0, 1)).map(|(_, outcome)| outcome), Some(RunOutcome::Lost));
-    assert_eq!(reported(run(0, 1)), reported(run(1, 1)));
+    assert_eq!(reported(run(1, 1)), Some((2_001, RunOutcome::Closed)));
 }
 
 // Guards against a run that is never reported as ended because its start was not answered and its worker does not return.
