Believe a worker that rejects a start for lack of room

What callers saw: nothing yet; a worker's capacity may shrink while it runs, and until its next heartbeat an agent went on to send starts that were rejected, one for each order. Cause: only heartbeats changed what the agent believed. A rejection for lack of room now lowers the believed capacity below what was asked for, in what entries are told as well, until the next heartbeat.

shrunk_capacity: rejection_for_lack_of_room_is_believed_until_the_next_heartbeat failed before (ten rejected starts). Three more tests hold LIMIT for an agent that trusts the heartbeats: they passed before, too: shrinking below what runs and growing again, a run that is being stopped, a late heartbeat.

--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -179,7 +179,7 @@
         let free_capacity = self
             .incarnation
             .as_ref()
-            .map(|incarnation| incarnation.notice.capacity.saturating_sub(&self.runs.used_at_worker()))
+            .map(|incarnation| incarnation.capacity().saturating_sub(&self.runs.used_at_worker()))
             .unwrap_or_default();
         let lease_end = self.next_lease_end();
         let now = self.now;
@@ -316,10 +316,29 @@
             Some(record) if !matches!(record.state, RunState::Starting { tries: 1, .. }) => {
                 record.request_stop(now, StopCause::Unanswered);
             }
-            Some(_) => self.finish_run(run, rejection_outcome(rejection), EndSign::Rejected),
+            Some(_) => {
+                if rejection == StartRejection::NoRoom {
+                    self.record_lack_of_room();
+                }
+                self.finish_run(run, rejection_outcome(rejection), EndSign::Rejected);
+            }
         }
     }
 
+    /// Lowers the capacity that the worker is believed to have, after it has rejected one of the starts that count as used.
+    fn record_lack_of_room(&mut self) {
+        let used = self.runs.used_at_worker();
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        incarnation.record_rejection(used);
+        let (announced, believed) = (incarnation.notice.capacity.millicores, incarnation.capacity().millicores);
+        self.log(format!(
+            "event=capacity_lowered announced_millicores={announced} believed_millicores={believed} used_millicores={}",
+            used.millicores
+        ));
+    }
+
     pub(super) fn stop_run(&mut self, run: &RunId, cause: StopCause) {
         let now = self.now;
         let is_queued = self.runs.get_mut(run).is_some_and(|record| record.request_stop(now, cause));
--- a/crates/runs/src/agent/worker_incarnation.rs
+++ b/crates/runs/src/agent/worker_incarnation.rs
@@ -49,6 +49,8 @@
     pub is_announced: bool,
     /// Whether the worker has deregistered and sent no heartbeat since.
     pub is_leaving: bool,
+    /// Processor capacity in millicores that the worker has shown to have at most, since the latest heartbeat.
+    millicores_max: u64,
 }
 
 impl WorkerIncarnation {
@@ -62,6 +64,7 @@
             is_settled: false,
             is_announced: true,
             is_leaving: false,
+            millicores_max: u64::MAX,
         }
     }
 
@@ -79,9 +82,22 @@
         // A worker that is draining never becomes ready again within the same incarnation.
         let is_ready = notice.is_ready && (self.notice.is_ready || !self.is_announced);
         self.is_announced = true;
+        self.millicores_max = u64::MAX;
         self.notice = WorkerNotice { is_ready, ..notice };
     }
 
+    /// Records that the worker has rejected a start for lack of room with which its runs would occupy `total`. Its capacity has shrunk
+    /// since the latest heartbeat.
+    pub fn record_rejection(&mut self, total: ResourceAmount) {
+        self.millicores_max = self.millicores_max.min(total.millicores.saturating_sub(1));
+    }
+
+    /// Returns the worker's total capacity, as its latest heartbeat and its rejections show it.
+    pub fn capacity(&self) -> ResourceAmount {
+        let capacity = self.notice.capacity;
+        ResourceAmount { millicores: capacity.millicores.min(self.millicores_max), ..capacity }
+    }
+
     /// Returns whether the worker has announced that it leaves.
     pub fn has_given_notice(&self) -> bool {
         self.is_leaving || (self.is_announced && !self.notice.is_ready)
@@ -94,7 +110,7 @@
 
     /// Returns the worker's information for reports to entries. The worker is reported as ready only once it is settled.
     pub fn worker_info(&self) -> WorkerInfo {
-        let WorkerNotice { worker, service, capacity, labels, cold, leaves_in, .. } = self.notice.clone();
-        WorkerInfo { worker, service, capacity, labels, is_ready: self.accepts_starts(), cold, leaves_in }
+        let WorkerNotice { worker, service, labels, cold, leaves_in, .. } = self.notice.clone();
+        WorkerInfo { worker, service, capacity: self.capacity(), labels, is_ready: self.accepts_starts(), cold, leaves_in }
     }
 }
