--- a/crates/runs/src/entry/dispatch/crashes.rs
+++ b/crates/runs/src/entry/dispatch/crashes.rs
@@ -19,8 +19,8 @@
             let Some(verdict) = self.crash_log.record(self.now, &agent, run) else {
                 continue;
             };
-            if run.is_starting || verdict == CrashVerdict::Deadly {
-                let is_open = self.job_table.get(&run.task.job).is_some();
+            let is_open = self.job_table.get(&run.task.job).is_some();
+            if is_open || verdict == CrashVerdict::Deadly {
                 self.log(format!(
                     "event=task_crashed task={} agent={agent} born={} starting={} verdict={verdict:?} open={is_open}",
                     run.task, run.born, run.is_starting
--- a/crates/runs/tests/shrunk_capacity.rs
+++ b/crates/runs/tests/shrunk_capacity.rs
@@ -28,7 +28,7 @@
 /// Returns the worker as the agent has last described it to an entry.
 fn reported_worker(bench: &AgentBench) -> Option<&WorkerInfo> {
     let reports = bench.sent_frames.iter().filter_map(|(_, frame)| if let RunFrame::Report(report) = frame { Some(report) } else { None });
-    reports.filter_map(|report| report.worker.as_ref()).last()
+    reports.filter_map(|report| report.worker.as_ref()).next_back()
 }
 
 // Guards against starts at a worker whose room has shrunk below what runs there, and against room that is not used again.
