Count a crash under a task only if its worker had confirmed the start

Cause: run 2 was sent to a worker that had just crashed; its start was never answered, and the agent reported it among the runs that the crash had taken along. That is not known, only possible.

A crashed run now says what was known of it: unconfirmed, starting or running. Two workers that had just started the task, or three that ran it, end its job as failed; unconfirmed starts count only for the bound of four.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -108,7 +108,7 @@
     pub speeds: Vec<RouteSpeed>,
 }
 
-/// A run that a worker was running when it crashed.
+/// A run that a worker was told to start before it crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
     /// The run's task.
@@ -117,8 +117,19 @@
     pub route: SmolStr,
     /// Start of the worker's incarnation, in Unix milliseconds.
     pub born: u64,
-    /// Whether the worker may have been starting the run when it crashed: it was not seen running it for some time before.
-    pub is_starting: bool,
+    /// What is known of the run.
+    pub stage: CrashStage,
+}
+
+/// What was known of a run when its worker crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashStage {
+    /// The worker has not answered the start and may not have received it.
+    Unconfirmed,
+    /// The worker had just started the run.
+    Starting,
+    /// The worker was seen running the run for some time.
+    Running,
 }
 
 /// How long the runs of one route take at a worker, relative to the callers' estimates.
--- a/crates/runs/src/agent/runner/crashes.rs
+++ b/crates/runs/src/agent/runner/crashes.rs
@@ -3,7 +3,7 @@
 //! A worker that answers no more may have crashed, hang or be cut off. It has crashed if its address refuses connections until its lease has
 //! ended, or if the next list comes from another incarnation. One that had announced that it leaves has not.
 
-use vanillacleat_core::run_frames::CrashedRun;
+use vanillacleat_core::run_frames::{CrashStage, CrashedRun};
 
 use super::RunnerControl;
 use crate::agent::run_table::{RunRecord, RunState};
@@ -29,8 +29,12 @@
         let is_received = |record: &RunRecord| silent_since.is_none_or(|since| record.started_at <= since);
         let received = self.runs.iter().filter(|(_, record)| record.state != RunState::Queued && is_received(record));
         let crashed = received.map(|(run, record)| {
-            let is_starting = !record.has_survived_start();
-            CrashedRun { task: run.task, route: record.route.clone(), born, is_starting }
+            let stage = match record.confirmed_at {
+                None => CrashStage::Unconfirmed,
+                Some(_) if record.has_survived_start() => CrashStage::Running,
+                Some(_) => CrashStage::Starting,
+            };
+            CrashedRun { task: run.task, route: record.route.clone(), born, stage }
         });
         crashed.collect()
     }
@@ -59,7 +63,7 @@
     }
 }
 
-/// Lists the tasks that a worker may have been starting when it fell silent, for logs.
+/// Lists the tasks that a worker had just started when it fell silent, for logs.
 pub(super) fn format_starting(runs: &[CrashedRun]) -> String {
-    format_list(runs.iter().filter(|run| run.is_starting).map(|run| run.task))
+    format_list(runs.iter().filter(|run| run.stage == CrashStage::Starting).map(|run| run.task))
 }
--- a/crates/runs/src/entry/crash_log.rs
+++ b/crates/runs/src/entry/crash_log.rs
@@ -1,20 +1,23 @@
 //! Which tasks have crashed their workers, as the agents report it to all entries.
 //!
 //! A crash takes all runs at the worker along, and only one of them may have caused it. Most tasks that crash a worker do so when they
-//! start, so that a run which the worker was only just starting counts for more than one that had survived its start.
+//! start, so that a run which the worker had just started counts for more than one that had survived its start, or that the worker may
+//! never have received.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use vanillacleat_core::caller_job::{CallerJobId, TaskId};
 use vanillacleat_core::ids::AgentId;
-use vanillacleat_core::run_frames::CrashedRun;
+use vanillacleat_core::run_frames::{CrashStage, CrashedRun};
 use vanillacleat_core::units::MonoTime;
 
-/// Number of workers that crashed while they started a task from which the task is given up.
+/// Number of workers that crashed when they had just started a task from which the task is given up.
 const STARTING_CRASHES_MAX: usize = 2;
-/// Number of workers that crashed under a task, whenever it had started, from which the task is given up.
-const CRASHES_MAX: usize = 3;
+/// Number of workers that crashed while they ran a task from which the task is given up.
+const CONFIRMED_CRASHES_MAX: usize = 3;
+/// The same with the workers that may not have received the task.
+const CRASHES_MAX: usize = 4;
 /// How long the crashes under a task are retained.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of tasks whose crashes are retained. The oldest are evicted first.
@@ -23,9 +26,9 @@
 /// What the crashes under a task show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CrashVerdict {
-    /// No worker is known to have crashed when it started the task.
+    /// No worker is known to have crashed when it had just started the task.
     Harmless,
-    /// A worker has crashed when it started the task.
+    /// A worker has crashed when it had just started the task.
     Suspect,
     /// So many workers have crashed under the task that it is not started again.
     Deadly,
@@ -37,7 +40,7 @@
     agent: AgentId,
     /// Start of the worker's incarnation, in Unix milliseconds.
     born: u64,
-    is_starting: bool,
+    stage: CrashStage,
 }
 
 /// Holds the crashes under recent tasks, of all entries.
@@ -57,7 +60,7 @@
             self.order.push_back((now, run.task));
         }
         let crashes = self.crashes.entry(run.task).or_default();
-        let crash = WorkerCrash { agent: agent.clone(), born: run.born, is_starting: run.is_starting };
+        let crash = WorkerCrash { agent: agent.clone(), born: run.born, stage: run.stage };
         if crashes.len() >= CRASHES_MAX || crashes.contains(&crash) {
             return None;
         }
@@ -100,10 +103,13 @@
 }
 
 fn judge(crashes: &[WorkerCrash]) -> CrashVerdict {
-    let starting = crashes.iter().filter(|crash| crash.is_starting).count();
-    match starting {
-        _ if starting >= STARTING_CRASHES_MAX || crashes.len() >= CRASHES_MAX => CrashVerdict::Deadly,
-        0 => CrashVerdict::Harmless,
-        _ => CrashVerdict::Suspect,
+    let starting = crashes.iter().filter(|crash| crash.stage == CrashStage::Starting).count();
+    let confirmed = crashes.iter().filter(|crash| crash.stage != CrashStage::Unconfirmed).count();
+    if starting >= STARTING_CRASHES_MAX || confirmed >= CONFIRMED_CRASHES_MAX || crashes.len() >= CRASHES_MAX {
+        CrashVerdict::Deadly
+    } else if starting > 0 {
+        CrashVerdict::Suspect
+    } else {
+        CrashVerdict::Harmless
     }
 }
--- a/crates/runs/src/entry/dispatch/crashes.rs
+++ b/crates/runs/src/entry/dispatch/crashes.rs
@@ -22,8 +22,8 @@
             let is_open = self.job_table.get(&run.task.job).is_some();
             if is_open || verdict == CrashVerdict::Deadly {
                 self.log(format!(
-                    "event=task_crashed task={} agent={agent} born={} starting={} verdict={verdict:?} open={is_open}",
-                    run.task, run.born, run.is_starting
+                    "event=task_crashed task={} agent={agent} born={} stage={:?} verdict={verdict:?} open={is_open}",
+                    run.task, run.born, run.stage
                 ));
             }
             if verdict == CrashVerdict::Deadly {
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -18,7 +18,7 @@
 /// Maximum number of final phases that are kept. The oldest are evicted first.
 const FINAL_PHASES_MAX: usize = 20_000;
 
-/// Number of runs of a task that are lost, whatever the evidence, from which the task is given up: it may be what its workers are lost to.
+/// Number of lost runs of a task, whatever the evidence, from which its job is abandoned: the task may be what its workers are lost to.
 const LOSSES_MAX: u32 = 5;
 
 /// The reason that callers receive when a job is abandoned after tasks of it may have run.
@@ -220,10 +220,11 @@
         }
         let (failures, losses) = (slot.failures, slot.losses);
         job.has_run |= end.outcome.has_run();
-        let has_too_many_failures = failures >= job.route.attempts_max.max(1) || losses >= LOSSES_MAX;
+        let has_too_many_failures = failures >= job.route.attempts_max.max(1);
         let effects = match (job.is_active(), job.is_done()) {
             (_, true) => self.end_job(now, &id, JobPhase::Succeeded, CallerAnswer::Ended(JobPhase::Succeeded)),
             (true, false) if has_too_many_failures => self.end_job(now, &id, JobPhase::Failed, CallerAnswer::Ended(JobPhase::Failed)),
+            (true, false) if losses >= LOSSES_MAX => self.stop_job(&id),
             (true, false) => {
                 self.update_ready(&id);
                 Vec::new()
