Confine routes that keep half of the workers down

What callers saw: with a tenth of the jobs on one route deadly, no route of the service was served for ten seconds, although each task was given up after two crashes. Cause: every worker may get the first start of a deadly task, and is away for three seconds after it; 3.4 such jobs a second keep eleven workers down whatever becomes of the second start.

Once workers that had just started tasks of a route crash, and are within five seconds three times as many as a fifth of the service's workers, with two different jobs given up, the route's tasks run on that fifth only and all others on the rest, until fewer crash than are left to it. All entries hear of the same crashes and choose the workers by the same hash. Admission counts the workers of the route's pool and the jobs that compete for them. deadly_tasks: deadly_tasks_of_one_route_leave_workers_to_the_others failed before (87 and 56 of 120 harmless jobs served; all since).

--- a/crates/runs-daemon/src/entry_metrics.rs
+++ b/crates/runs-daemon/src/entry_metrics.rs
@@ -12,6 +12,8 @@
     pub(crate) control_lag: Histogram,
     pub(crate) sessions: Gauge,
     pub(crate) strained: Gauge,
+    /// Routes whose tasks run on a part of the workers only.
+    pub(crate) confined_routes: Gauge,
     pub(crate) outdated_hellos: Counter,
     pub(crate) refused_speeds: Counter,
     /// By the kind of the answer.
@@ -28,6 +30,7 @@
         Self {
             control_lag: metrics::histogram!("runs_control_lag_seconds"),
             sessions: metrics::gauge!("runs_sessions"),
+            confined_routes: metrics::gauge!("runs_confined_routes"),
             strained: metrics::gauge!("runs_entry_strained"),
             outdated_hellos: metrics::counter!("runs_outdated_hellos_total"),
             refused_speeds: metrics::counter!("runs_refused_speeds_total"),
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -176,6 +176,8 @@
     worker_registry: WorkerRegistry,
     route_times: RouteTimes,
     crash_log: CrashLog,
+    /// When the workers that are left to confined routes were last chosen.
+    quarantine_updated_at: MonoTime,
     load: EntryLoad,
     peer_registry: PeerRegistry,
     job_homes: JobHomes,
@@ -227,6 +229,7 @@
             worker_registry,
             route_times: RouteTimes::default(),
             crash_log: CrashLog::default(),
+            quarantine_updated_at: MonoTime::ZERO,
             load,
             peer_registry,
             job_homes: JobHomes::default(),
@@ -432,6 +435,7 @@
             "claims": self.dump_claims(),
             "workers": workers.collect::<Vec<_>>(),
             "crash_suspects": self.crash_log.len(),
+            "confined_routes": self.worker_registry.quarantine().confined_routes().collect::<Vec<_>>(),
             "speeds_refused": self.worker_registry.refused_speeds(),
             "cold_factor": self.worker_registry.speed_table().cold_factor(),
             "jobs": jobs.collect::<Vec<_>>(),
@@ -453,6 +457,7 @@
     /// Runs the periodic checks of sessions, workers and jobs.
     fn run_maintenance(&mut self) {
         self.close_silent_sessions();
+        self.update_quarantine();
         self.update_speeds();
         self.record_slow_workers();
         self.record_delayed_reports();
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -12,6 +12,7 @@
 use super::{DispatchAction, DispatchControl, Measurement};
 use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
 use crate::entry::open_job::{FormerRun, OpenJob};
+use crate::entry::quarantine::WorkerPool;
 use crate::entry::worker_registry::CapacityRequest;
 use crate::entry::worker_speeds::TaskTiming;
 
@@ -32,6 +33,7 @@
     demand: ResourceAmount,
     required_label: Option<SmolStr>,
     is_late: bool,
+    pool: WorkerPool,
 }
 
 impl UnmetRequests {
@@ -42,6 +44,7 @@
                 demand: *request.demand,
                 required_label: request.required_label.cloned(),
                 is_late: request.is_late,
+                pool: request.pool,
             });
         }
     }
@@ -50,7 +53,12 @@
     fn covers(&self, request: &CapacityRequest<'_>) -> bool {
         let is_covering = |unmet: &UnmetRequest| {
             let has_label = unmet.required_label.is_none() || unmet.required_label.as_ref() == request.required_label;
-            unmet.service == *request.service && unmet.demand.fits(request.demand) && has_label && (request.is_late || !unmet.is_late)
+            let has_pool = unmet.pool == request.pool || unmet.pool == WorkerPool::All;
+            has_pool
+                && unmet.service == *request.service
+                && unmet.demand.fits(request.demand)
+                && has_label
+                && (request.is_late || !unmet.is_late)
         };
         self.requests.iter().any(is_covering)
     }
@@ -112,6 +120,7 @@
                 preferred_rack: step.preferred_rack.as_ref(),
                 excluded: &[],
                 is_late,
+                pool: self.worker_registry.quarantine().pool(&route.service, &route.name),
                 timing: self.task_timing(job, step),
             };
             if unmet.covers(&request) {
@@ -222,7 +231,10 @@
     /// Returns the estimated time until a job with these times would start, after all waiting work that is placed before
     /// it. Returns `None` if there is such work and the service has no healthy worker and no run of this entry.
     pub(super) fn start_delay(&self, times: &JobTimes, route: &RouteRule) -> Option<Duration> {
-        let queued = self.job_table.work_ahead(self.now, times.rank(self.now, route.priority));
+        let quarantine = self.worker_registry.quarantine();
+        let pool_of = |route: &RouteRule| quarantine.pool(&route.service, &route.name);
+        let pool = pool_of(route);
+        let queued = self.job_table.work_ahead(self.now, times.rank(self.now, route.priority), |job| pool_of(&job.route) == pool);
         queue_wait(queued, self.worker_registry.expected_cores(self.now, &route.service, &self.plan.zones_out, Some(&route.name)))
     }
 }
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -163,9 +163,10 @@
         ready.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Returns the work of ready tasks that is placed before a job of this rank, in core-seconds.
-    pub fn work_ahead(&self, now: MonoTime, rank: JobRank) -> f64 {
-        self.iter_ready().filter(|job| job.rank(now) < rank).map(OpenJob::waiting_work).sum()
+    /// Returns the work of ready tasks that is placed before a job of this rank, in core-seconds. Only the jobs count that `competes`
+    /// selects.
+    pub fn work_ahead(&self, now: MonoTime, rank: JobRank, competes: impl Fn(&OpenJob) -> bool) -> f64 {
+        self.iter_ready().filter(|job| job.rank(now) < rank && competes(job)).map(OpenJob::waiting_work).sum()
     }
 
     /// Returns whether any task is ready to be placed.
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod job_table;
 mod open_job;
 mod peer_registry;
+mod quarantine;
 mod resume_barrier;
 mod run_times;
 mod straggler_rule;
@@ -28,6 +29,7 @@
 pub use job_table::{JobEffect, JobTable};
 pub use open_job::{FormerRun, OpenJob, TaskSlot};
 pub use peer_registry::{FrameRefusal, PeerIdentity, PeerLink, PeerRegistry};
+pub use quarantine::{ConfinementChange, Quarantine, WorkerPool};
 pub use run_times::RouteTimes;
 pub use straggler_rule::{slowness_threshold, RunForecast};
 pub use worker_capacity::WorkerCapacity;
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -11,6 +11,7 @@
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::job_order::core_share;
+use super::quarantine::{select_workers, Quarantine, WorkerPool};
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_performance::WorkerPerformance;
@@ -38,6 +39,8 @@
     pub excluded: &'a [AgentId],
     /// Whether the task's job can no longer end by its target time. Such a task gets no worker that is nearly full.
     pub is_late: bool,
+    /// The workers on which the task may run.
+    pub pool: WorkerPool,
     /// The time that the task has. Absent if its run time is unknown.
     pub timing: Option<TaskTiming>,
 }
@@ -65,6 +68,7 @@
     /// When the speed table was computed.
     speeds_updated_at: MonoTime,
     refused_speeds: u64,
+    quarantine: Quarantine,
 }
 
 impl Default for WorkerRegistry {
@@ -85,6 +89,7 @@
             are_speeds_new: false,
             speeds_updated_at: MonoTime::ZERO,
             refused_speeds: 0,
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -308,7 +313,8 @@
     ) -> Option<&AgentId> {
         let is_healthy = |worker: &&WorkerCapacity| !worker.is_slow && !worker.performance.is_failing(now);
         let usable = self.workers.values().filter(|worker| self.is_usable(now, worker));
-        let candidates = usable.filter(|worker| is_candidate(zones_out, request, worker)).filter(is_healthy);
+        let is_in_pool = |worker: &&WorkerCapacity| self.quarantine.contains(request.pool, request.service, &worker.agent);
+        let candidates = usable.filter(|worker| is_candidate(zones_out, request, worker)).filter(is_healthy).filter(is_in_pool);
         let best = candidates.min_by_key(|worker| {
             let is_far = request.preferred_rack.is_some_and(|rack| !has_label(worker, rack));
             let is_contended = worker.zone != *zone && !request.demand.fits(&worker.capacity_for_other_zones());
@@ -331,13 +337,15 @@
     }
 
     /// Returns the number of cores that this entry can expect to use on the workers of a service: its share of each worker that
-    /// is connected, ready, not slow and outside `zones_out`. If a route is given, a core of a worker that takes longer for its tasks than a
-    /// quick one counts for accordingly less.
+    /// is connected, ready, not slow and outside `zones_out`. If a route is given, only the workers count on which its tasks may run, and a
+    /// core of a worker that takes longer for its tasks than a quick one counts for accordingly less.
     pub fn expected_cores(&self, now: MonoTime, service: &ServiceName, zones_out: &BTreeSet<ZoneName>, route: Option<&SmolStr>) -> f64 {
         let index = route.and_then(|route| self.speed_table.index(route));
+        let pool = route.map_or(WorkerPool::All, |route| self.quarantine.pool(service, route));
+        let is_in_pool = |worker: &&WorkerCapacity| self.quarantine.contains(pool, service, &worker.agent);
         let healthy =
             self.workers.values().filter(|worker| !worker.is_slow && !zones_out.contains(&worker.zone) && worker.session.is_some());
-        let serving = healthy.filter_map(|worker| {
+        let serving = healthy.filter(is_in_pool).filter_map(|worker| {
             let info = worker.info.as_ref().filter(|info| info.service == *service && info.is_ready)?;
             let (cores, reserved) = (info.capacity.millicores as f64 / 1_000.0, worker.reserved.millicores as f64 / 1_000.0);
             let speed = index.map_or(1.0, |index| self.speed_table.quick(index) / self.speed_table.ratio(now, index, worker).expected);
@@ -346,6 +354,30 @@
         serving.sum()
     }
 
+    /// Returns the routes whose tasks crash workers, and the workers that are left to them.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Returns the same for changes.
+    pub fn quarantine_mut(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
+    /// Chooses the workers that are left to the confined routes of these services, outside `zones_out`. Workers that are away for a while
+    /// keep their place, so that a crash changes nothing.
+    pub fn update_quarantine(&mut self, services: BTreeSet<ServiceName>, zones_out: &BTreeSet<ZoneName>) {
+        let select = |service: &ServiceName| select_workers(self.known_agents(service, zones_out));
+        let workers = services.into_iter().map(|service| (service.clone(), select(&service))).collect();
+        self.quarantine.set_workers(workers);
+    }
+
+    /// Returns the agents of the workers of a service outside `zones_out`, with those that are away for a while.
+    pub fn known_agents<'a>(&'a self, service: &'a ServiceName, zones_out: &'a BTreeSet<ZoneName>) -> impl Iterator<Item = &'a AgentId> {
+        let workers = self.workers.values().filter(|worker| !zones_out.contains(&worker.zone));
+        workers.filter(|worker| worker.info.as_ref().is_some_and(|info| info.service == *service)).map(|worker| &worker.agent)
+    }
+
     /// Returns whether an agent stores the routes for the entries of `zone`. The zone's first connected agents in the
     /// order of their names do.
     pub fn stores_routes(&self, agent: &AgentId, zone: &ZoneName) -> bool {
--- a/crates/runs/tests/deadly_tasks.rs
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -1,7 +1,8 @@
 //! Tests that a task which crashes each worker that starts it is given up, and harms as little else as possible.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use rstest::rstest;
 use vanillacleat_core::run_frames::{CrashStage, CrashedRun, RunFrame, RunOutcome};
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_runs::agent::RunnerEvent;
@@ -154,6 +155,44 @@
     assert!(bench.is_running(run(6, 1)));
 }
 
+/// Number of workers in a storm of deadly jobs.
+const STORM_WORKERS: u64 = 11;
+/// Interval between two deadly jobs in a storm, in milliseconds. Two crashes for each keep more workers down than there are.
+const STORM_INTERVAL: u64 = 300;
+/// Time of a storm after which it has to be contained: some deadly tasks have crashed two workers each, and all workers that crashed are
+/// back, in milliseconds.
+const CONTAINED_AFTER: u64 = 6_000;
+
+/// Runs a storm of deadly jobs on one route for twelve seconds, and a harmless job on the other route every 50 ms. Returns how many of the
+/// harmless jobs that were submitted once the storm has to be contained succeeded, and how many there were.
+fn ride_out_storm(entries: usize) -> (usize, usize) {
+    let mut bench = PeerBench::new(entries, STORM_WORKERS);
+    bench.set_run_time(100);
+    let (begin, mut observed) = (bench.now(), BTreeSet::new());
+    for step in 0..240 {
+        let (at, entry) = (step * 50, step as usize % entries);
+        if at % STORM_INTERVAL == 0 {
+            bench.set_deadly(10_000 + step);
+            bench.submit(entry, 10_000 + step, 10_000 + step);
+        }
+        bench.submit_elsewhere(entry, 1 + step, 1 + step);
+        if at >= CONTAINED_AFTER {
+            observed.insert(1 + step);
+        }
+        bench.advance(begin + at + 50);
+    }
+    bench.advance(bench.now() + 3_000);
+    let succeeded = observed.iter().filter(|reply| bench.answers_to(**reply) == vec![&CallerAnswer::Ended(JobPhase::Succeeded)]);
+    (succeeded.count(), observed.len())
+}
+
+// Guards against deadly tasks on one route that keep all workers down, so that no other route is served either.
+#[rstest]
+fn deadly_tasks_of_one_route_leave_workers_to_the_others(#[values(1, 3)] entries: usize) {
+    let (succeeded, observed) = ride_out_storm(entries);
+    assert_eq!(succeeded, observed);
+}
+
 // Guards against a job that is shown as failed because of a start that its second worker had never received (LOST), and against a
 // deadly task that is started too often because no worker lives to confirm it (BUDGET).
 #[test]
--- a/crates/runs/tests/late_jobs.rs
+++ b/crates/runs/tests/late_jobs.rs
@@ -16,7 +16,7 @@
 use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
-use vanillacleat_runs::entry::{CapacityRequest, JobTimes, WorkerRegistry};
+use vanillacleat_runs::entry::{CapacityRequest, JobTimes, WorkerPool, WorkerRegistry};
 
 const ENTRIES: usize = 3;
 const WORKERS: usize = 8;
@@ -114,6 +114,7 @@
                     preferred_rack: None,
                     excluded: &[],
                     is_late,
+                    pool: WorkerPool::All,
                     timing: None,
                 };
                 let Some(chosen) = self.registry.choose_worker(at, &self.zone, &BTreeSet::new(), &request, None).cloned() else {
--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -16,7 +16,7 @@
 use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
-use vanillacleat_runs::entry::{CapacityRequest, WorkerCapacity, WorkerRegistry};
+use vanillacleat_runs::entry::{CapacityRequest, WorkerCapacity, WorkerPool, WorkerRegistry};
 
 const ENTRIES: usize = 3;
 const WORKERS: usize = 12;
@@ -216,6 +216,7 @@
                 preferred_rack: None,
                 excluded: &[],
                 is_late: false,
+                pool: WorkerPool::All,
                 timing: None,
             };
             let at = MonoTime::from_millis(now);
--- a/crates/runs/tests/support/peer_bench.rs
+++ b/crates/runs/tests/support/peer_bench.rs
@@ -11,7 +11,7 @@
 use vanillacleat_core::ids::{Incarnation, ProcessStart};
 use vanillacleat_core::peer_frames::PeerFrame;
 use vanillacleat_core::run_frames::EntryRecord;
-use vanillacleat_core::site_plan::SitePlan;
+use vanillacleat_core::site_plan::{RouteRule, SitePlan};
 use vanillacleat_core::units::{Millis, MonoTime};
 use vanillacleat_runs::agent::RunnerEvent;
 use vanillacleat_runs::entry::{CallerAnswer, DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, PeerAction, PeerEvent};
@@ -22,6 +22,8 @@
 
 /// Time for which the first request of a caller waits, in milliseconds, which is the route's timeout.
 const FIRST_TIMEOUT: u64 = 5_000;
+/// Prefix of the paths of the second route.
+const OTHER_PREFIX: &str = "/quotes/";
 /// Time for which a resubmission still waits, in milliseconds. It is shorter than the route's timeout.
 pub const RESUBMISSION_TIMEOUT: u64 = 3_500;
 
@@ -112,6 +114,13 @@
         self.request(entry, caller, reply, Duration::from_millis(FIRST_TIMEOUT));
     }
 
+    /// Submits the job of a caller to the other route.
+    pub fn submit_elsewhere(&mut self, entry: usize, caller: u64, reply: u64) {
+        let mut request = CallerState::new(caller, 1, 100).request();
+        request.path = SmolStr::new(request.path.replace("/bids/", OTHER_PREFIX));
+        self.deliver(entry, DispatchEvent::Requested { reply: ReplyId(reply), request });
+    }
+
     /// Submits the job of a caller again.
     pub fn resubmit(&mut self, entry: usize, caller: u64, reply: u64) {
         self.request(entry, caller, reply, Duration::from_millis(RESUBMISSION_TIMEOUT));
@@ -337,6 +346,10 @@
         let route = Arc::make_mut(route);
         (route.timeout, route.target_latency) = (Millis(FIRST_TIMEOUT), Millis(FIRST_TIMEOUT));
     }
+    if let Some(table) = plan.table.as_mut().map(Arc::make_mut) {
+        let other = RouteRule { name: "quotes".into(), prefix: OTHER_PREFIX.into(), ..RouteRule::clone(&table.routes[0]) };
+        table.routes.push(Arc::new(other));
+    }
     plan
 }
 
--- a/crates/runs/tests/uneven_choice.rs
+++ b/crates/runs/tests/uneven_choice.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_runs::entry::{CapacityRequest, TaskTiming, WorkerRegistry};
+use vanillacleat_runs::entry::{CapacityRequest, TaskTiming, WorkerPool, WorkerRegistry};
 
 use support::uneven_site::{draw_job, make_registry, make_workers, zone, ModelWork, ModelWorker, DEMAND, ROUTES};
 
@@ -156,6 +156,7 @@
             preferred_rack: None,
             excluded: &[],
             is_late: false,
+            pool: WorkerPool::All,
             timing: is_timed.then_some(timing),
         };
         let Some(agent) = registry.choose_worker(at, &zone(entry % 3), &BTreeSet::new(), &request, None).cloned() else {
