Count crashes and given-up tasks in metrics, and bound what is kept of them

A route's counted workers and jobs had no bound against a peer that reports crashes without end. extreme_values: crashes_without_bound_are_counted_up_to_a_limit.

--- a/crates/runs-daemon/src/agent_loop.rs
+++ b/crates/runs-daemon/src/agent_loop.rs
@@ -63,6 +63,7 @@
     runs_at_worker: Gauge,
     sessions: Gauge,
     refused_speeds: Counter,
+    worker_crashes: Counter,
     /// Time from a start call until the worker has answered it.
     start_time: Histogram,
 }
@@ -80,6 +81,7 @@
             runs_at_worker: metrics::gauge!("runs_at_worker"),
             sessions: metrics::gauge!("runs_sessions"),
             refused_speeds: metrics::counter!("runs_refused_speeds_total"),
+            worker_crashes: metrics::counter!("runs_worker_crashes_total"),
             start_time: metrics::histogram!("runs_worker_start_seconds"),
         }
     }
@@ -114,6 +116,7 @@
         self.runs_at_worker.set(self.control.run_table().len() as f64);
         self.sessions.set(self.control.session_count() as f64);
         self.refused_speeds.absolute(self.control.refused_speeds());
+        self.worker_crashes.absolute(self.control.crash_count());
         if is_drained {
             std::thread::sleep(FLUSH_DELAY);
             return ControlStep::Stop;
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -161,6 +161,7 @@
         self.metrics.outdated_hellos.absolute(self.control.outdated_hellos());
         self.metrics.refused_speeds.absolute(self.control.refused_speeds());
         self.peer_queues.publish(&self.control);
+        self.metrics.deadly_tasks.absolute(self.control.deadly_tasks());
         self.metrics.confined_routes.set(self.control.confined_routes() as f64);
         self.metrics.strained.set(if self.control.is_strained() { 1.0 } else { 0.0 });
         self.status.is_ready.store(self.control.is_ready(), Ordering::Relaxed);
--- a/crates/runs-daemon/src/entry_metrics.rs
+++ b/crates/runs-daemon/src/entry_metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) confined_routes: Gauge,
     pub(crate) outdated_hellos: Counter,
     pub(crate) refused_speeds: Counter,
+    /// Tasks that are not started again because workers have crashed under them.
+    pub(crate) deadly_tasks: Counter,
     /// By the kind of the answer.
     answers: HashMap<&'static str, Counter>,
     /// By the priority of the route.
@@ -33,6 +35,7 @@
             confined_routes: metrics::gauge!("runs_confined_routes"),
             strained: metrics::gauge!("runs_entry_strained"),
             outdated_hellos: metrics::counter!("runs_outdated_hellos_total"),
+            deadly_tasks: metrics::counter!("runs_deadly_tasks_total"),
             refused_speeds: metrics::counter!("runs_refused_speeds_total"),
             answers: HashMap::new(),
             placement_waits: HashMap::new(),
--- a/crates/runs/src/agent/crash_records.rs
+++ b/crates/runs/src/agent/crash_records.rs
@@ -20,11 +20,13 @@
     /// The runs of a worker that answers no more. Whether it has crashed is not known yet.
     suspected: Vec<CrashedRun>,
     last_number: u64,
+    crash_count: u64,
 }
 
 impl CrashRecords {
     /// Adds the runs of a worker that has crashed.
     pub fn add(&mut self, now: MonoTime, runs: Vec<CrashedRun>) {
+        self.crash_count += 1;
         for run in runs {
             self.last_number += 1;
             self.records.push_back((self.last_number, now, run));
@@ -52,6 +54,11 @@
         std::mem::take(&mut self.suspected)
     }
 
+    /// Returns the number of crashes so far.
+    pub fn crash_count(&self) -> u64 {
+        self.crash_count
+    }
+
     /// Returns the number of the last record.
     pub fn last_number(&self) -> u64 {
         self.last_number
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -246,6 +246,11 @@
         self.speeds.refused()
     }
 
+    /// Returns how often the worker has crashed while it ran something.
+    pub fn crash_count(&self) -> u64 {
+        self.crash_records.crash_count()
+    }
+
     /// Returns the number of open sessions with entries.
     pub fn session_count(&self) -> usize {
         self.sessions.len()
--- a/crates/runs/src/entry/crash_log.rs
+++ b/crates/runs/src/entry/crash_log.rs
@@ -49,6 +49,7 @@
     crashes: BTreeMap<TaskId, Vec<WorkerCrash>>,
     /// The tasks in the order of their first crashes.
     order: VecDeque<(MonoTime, TaskId)>,
+    deadly_count: u64,
 }
 
 impl CrashLog {
@@ -64,8 +65,16 @@
         if crashes.len() >= CRASHES_MAX || crashes.contains(&crash) {
             return None;
         }
+        let was_deadly = judge(crashes) == CrashVerdict::Deadly;
         crashes.push(crash);
-        Some(self.verdict(&run.task))
+        let verdict = judge(crashes);
+        self.deadly_count += u64::from(verdict == CrashVerdict::Deadly && !was_deadly);
+        Some(verdict)
+    }
+
+    /// Returns the number of tasks so far that are not started again because of crashes.
+    pub fn deadly_count(&self) -> u64 {
+        self.deadly_count
     }
 
     /// Returns what the crashes under a task show.
--- a/crates/runs/src/entry/dispatch/crashes.rs
+++ b/crates/runs/src/entry/dispatch/crashes.rs
@@ -81,6 +81,11 @@
         crashing.map(|rule| (rule.name.clone(), count(rule))).collect()
     }
 
+    /// Returns the number of tasks that are not started again because workers have crashed under them.
+    pub fn deadly_tasks(&self) -> u64 {
+        self.crash_log.deadly_count()
+    }
+
     /// Returns the number of routes whose tasks run on a part of the workers only, because they crash them.
     pub fn confined_routes(&self) -> usize {
         self.worker_registry.quarantine().confined_routes().count()
--- a/crates/runs/src/entry/quarantine.rs
+++ b/crates/runs/src/entry/quarantine.rs
@@ -26,6 +26,8 @@
 const WORKERS_MIN: usize = 3;
 /// Maximum number of routes whose crashes are counted.
 const ROUTES_MAX: usize = 256;
+/// Maximum number of workers, and of jobs, that are counted for one route. A route is confined long before.
+const COUNT_MAX: usize = 1_024;
 
 /// The workers on which a task may run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -93,10 +95,12 @@
             return;
         }
         let crashes = self.routes.entry(route.clone()).or_default();
-        if crashes.workers.iter().all(|(_, known, known_born)| (known, *known_born) != (agent, born)) {
+        let is_known = |(_, known, known_born): &(MonoTime, AgentId, u64)| (known, *known_born) == (agent, born);
+        if crashes.workers.len() < COUNT_MAX && !crashes.workers.iter().any(is_known) {
             crashes.workers.push_back((now, agent.clone(), born));
         }
-        if let Some(job) = deadly_job.filter(|job| crashes.deadly_jobs.iter().all(|(_, known)| known != job)) {
+        let is_new = |job: &CallerJobId| crashes.deadly_jobs.len() < COUNT_MAX && crashes.deadly_jobs.iter().all(|(_, known)| known != job);
+        if let Some(job) = deadly_job.filter(is_new) {
             crashes.deadly_jobs.push_back((now, job));
         }
     }
--- a/crates/runs/tests/extreme_values.rs
+++ b/crates/runs/tests/extreme_values.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::caller_job::{JobStep, ResourceAmount, RunId, TaskId};
+use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderId, RunFrame, RunHello, RunProgress, RunReport, SessionOrder, WorkerInfo};
+use vanillacleat_core::run_frames::{
+    CrashStage, CrashedRun, OrderId, RunFrame, RunHello, RunProgress, RunReport, SessionOrder, WorkerInfo,
+};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, RequestKind};
 
@@ -24,6 +27,18 @@
     entry
 }
 
+fn open_session(entry: &mut DispatchControl) {
+    let hello = RunHello {
+        agent: "agent-1".parse().expect("a valid name"),
+        incarnation: Incarnation(1),
+        order: SessionOrder::default(),
+        zone: "zone-0".parse().expect("a valid name"),
+        plan_version: u64::MAX,
+        unsettled: Vec::new(),
+    };
+    entry.handle(MonoTime::from_millis(2), DispatchEvent::Frame { session: SessionId(1), frame: RunFrame::Hello(hello) });
+}
+
 fn submit(entry: &mut DispatchControl, reply: u64, request: CallerRequest) -> Vec<CallerAnswer> {
     let actions = entry.handle(MonoTime::from_millis(10), DispatchEvent::Requested { reply: ReplyId(reply), request });
     let answers = actions.into_iter().filter_map(|action| match action {
@@ -67,15 +82,7 @@
 #[test]
 fn report_beyond_all_bounds_is_handled() {
     let mut entry = started_entry(160);
-    let hello = RunHello {
-        agent: "agent-1".parse().expect("a valid name"),
-        incarnation: Incarnation(1),
-        order: SessionOrder::default(),
-        zone: "zone-0".parse().expect("a valid name"),
-        plan_version: u64::MAX,
-        unsettled: Vec::new(),
-    };
-    entry.handle(MonoTime::from_millis(2), DispatchEvent::Frame { session: SessionId(1), frame: RunFrame::Hello(hello) });
+    open_session(&mut entry);
     let mut request = CallerState::new(1, 1, 100).request();
     request.caller_timeout = Some(Duration::from_secs(2));
     let run = RunId { task: TaskId { job: CallerState::new(1, 1, 100).id, step: u16::MAX, index: u16::MAX }, run: u32::MAX };
@@ -105,3 +112,23 @@
     submit(&mut entry, 1, request);
     entry.handle(MonoTime::from_millis(2_500), DispatchEvent::Tick);
 }
+
+// Guards against an agent whose frames of crashes take the entry's memory, or end its control thread.
+#[test]
+fn crashes_without_bound_are_counted_up_to_a_limit() {
+    let mut entry = started_entry(160);
+    open_session(&mut entry);
+    for round in 0..40 {
+        let crashed = (0..2_000_u64).map(|number| CrashedRun {
+            task: TaskId { job: CallerJobId(round * 2_000 + number), step: u16::MAX, index: u16::MAX },
+            route: SmolStr::new(format!("route-{round}-{number}")),
+            born: u64::MAX,
+            stage: CrashStage::Starting,
+        });
+        let frame = RunFrame::Crashes(crashed.collect());
+        entry.handle(MonoTime::from_millis(20 + round), DispatchEvent::Frame { session: SessionId(1), frame });
+    }
+    assert!(entry.dump()["crash_suspects"].as_u64().is_some_and(|suspects| suspects <= 4_096));
+    let answers = submit(&mut entry, 1, CallerState::new(1, 1, 100).request());
+    assert!(answers.is_empty(), "the job waits for a worker: {answers:?}");
+}
