One crash of a worker counts once under a task

A run that is held back was recorded a second time when the next incarnation answered, and a crash that was reported with another stage counted as another crash. deadly_tasks: repeated_report_of_a_crash_counts_once has the case.

--- a/crates/runs/src/agent/runner/crashes.rs
+++ b/crates/runs/src/agent/runner/crashes.rs
@@ -27,7 +27,9 @@
         let born = incarnation.notice.born;
         let silent_since = self.polls.pacing.unanswered_since();
         let is_received = |record: &RunRecord| silent_since.is_none_or(|since| record.started_at <= since);
-        let received = self.runs.iter().filter(|(_, record)| record.state != RunState::Queued && is_received(record));
+        // The crash of a run that is held back was recorded when its worker was given up.
+        let is_at_worker = |record: &RunRecord| record.state != RunState::Queued && !record.is_held;
+        let received = self.runs.iter().filter(|(_, record)| is_at_worker(record) && is_received(record));
         let crashed = received.map(|(run, record)| {
             let stage = match record.confirmed_at {
                 None => CrashStage::Unconfirmed,
--- a/crates/runs/src/entry/crash_log.rs
+++ b/crates/runs/src/entry/crash_log.rs
@@ -61,12 +61,12 @@
             self.order.push_back((now, run.task));
         }
         let crashes = self.crashes.entry(run.task).or_default();
-        let crash = WorkerCrash { agent: agent.clone(), born: run.born, stage: run.stage };
-        if crashes.len() >= CRASHES_MAX || crashes.contains(&crash) {
+        let is_known = |crash: &WorkerCrash| crash.agent == *agent && crash.born == run.born;
+        if crashes.len() >= CRASHES_MAX || crashes.iter().any(is_known) {
             return None;
         }
         let was_deadly = judge(crashes) == CrashVerdict::Deadly;
-        crashes.push(crash);
+        crashes.push(WorkerCrash { agent: agent.clone(), born: run.born, stage: run.stage });
         let verdict = judge(crashes);
         self.deadly_count += u64::from(verdict == CrashVerdict::Deadly && !was_deadly);
         Some(verdict)
--- a/crates/runs/src/entry/dispatch/crashes.rs
+++ b/crates/runs/src/entry/dispatch/crashes.rs
@@ -46,6 +46,7 @@
             }
         }
     }
+
     /// Confines and releases routes, and chooses the workers that are left to the confined ones.
     pub(super) fn update_quarantine(&mut self) {
         if self.worker_registry.quarantine().is_empty() {
--- a/crates/runs/src/entry/quarantine.rs
+++ b/crates/runs/src/entry/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! A task is given up after two crashes, but a route that receives deadly tasks all the time can keep every worker of its service down.
 //! While a route crashes more workers than a fifth of them would bear, its tasks run on that fifth only, and all other tasks on the rest.
-//! It costs the route more than it saves the others where crashes are few. All entries hear of the same crashes and choose the workers by the same hash, so that they agree without asking each other.
+//! It costs the route more than it saves the others where crashes are few. All entries hear of the same crashes and choose the workers by
+//! the same hash, so that they agree without asking each other.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -30,7 +31,7 @@
 const COUNT_MAX: usize = 1_024;
 
 /// The workers on which a task may run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkerPool {
     /// All workers of the service.
     #[default]
--- a/crates/runs/tests/deadly_tasks.rs
+++ b/crates/runs/tests/deadly_tasks.rs
@@ -214,7 +214,7 @@
     assert_eq!(verdict_after(&[Unconfirmed; 4]), CrashVerdict::Deadly);
 }
 
-// Guards against one crash that counts twice, because an agent reports it again on a new session.
+// Guards against one crash that counts twice, because an agent reports it again, on a new session or with another stage.
 #[test]
 fn repeated_report_of_a_crash_counts_once() {
     let mut crash_log = CrashLog::default();
@@ -222,5 +222,7 @@
     let crashed = CrashedRun { task: run(0, 1).task, route: "bids".into(), born: BORN, stage: CrashStage::Starting };
     assert_eq!(crash_log.record(MonoTime::ZERO, &agent, &crashed), Some(CrashVerdict::Suspect));
     assert_eq!(crash_log.record(MonoTime::ZERO, &agent, &crashed), None);
+    let unconfirmed = CrashedRun { stage: CrashStage::Unconfirmed, ..crashed };
+    assert_eq!(crash_log.record(MonoTime::ZERO, &agent, &unconfirmed), None);
     assert_eq!(crash_log.job_verdict(run(0, 1).task.job), CrashVerdict::Suspect);
 }
