--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -103,8 +103,8 @@
     /// The last order of each run.
     pub orders: BTreeMap<RunId, OrderId>,
     now: u64,
-    /// The deadly task that is running, and when it crashes the worker.
-    fuse: Option<(u64, TaskId)>,
+    /// When the deadly task that is running crashes the worker, and the task.
+    due_crash: Option<(u64, TaskId)>,
     /// How long the worker and its clock have stood still, in milliseconds.
     suspended: u64,
     last_call: Option<SentCall>,
@@ -158,7 +158,7 @@
             is_drained: false,
             orders: BTreeMap::new(),
             now: 0,
-            fuse: None,
+            due_crash: None,
             suspended: 0,
             last_call: None,
             new_calls: Vec::new(),
@@ -290,10 +290,10 @@
     /// Ends the worker's process if a deadly task is due to crash it, and starts another one if the last has been gone for long enough.
     fn crash_worker(&mut self) {
         let deadly = self.worker.running().find(|run| self.deadly_tasks.contains(&run.task)).map(|run| run.task);
-        if let (None, Some(task)) = (self.fuse, deadly) {
-            self.fuse = Some((self.now + CRASH_DELAY, task));
+        if let (None, Some(task)) = (self.due_crash, deadly) {
+            self.due_crash = Some((self.now + CRASH_DELAY, task));
         }
-        if let Some((_, task)) = self.fuse.take_if(|(due_at, _)| self.now >= *due_at) {
+        if let Some((_, task)) = self.due_crash.take_if(|(due_at, _)| self.now >= *due_at) {
             self.crashes.push((self.now, task));
             let born = BORN + self.now;
             self.worker = WorkerModel::new(self.worker_time() + Duration::from_millis(RESTART_DELAY), WORKER, born, self.worker.capacity);
