Less urgent jobs leave room to urgent ones

The workers were 92% full (mean of runs at a worker against the most), and each slot that became free went to the entry whose run had ended, which had only less urgent jobs waiting. Change: a job of a route for which more urgent jobs have come lately leaves 10% of each worker (trunk reservation by urgency, as for late jobs, which leave 20% instead of 15%) until it has begun.

--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -27,6 +27,7 @@
 use super::job_table::JobTable;
 use super::peer_registry::{PeerIdentity, PeerRegistry};
 use super::resume_barrier::ResumeBarrier;
+use super::room_claim::UrgencyRecord;
 use super::run_times::RouteTimes;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_registry::WorkerRegistry;
@@ -175,6 +176,7 @@
     job_table: JobTable,
     worker_registry: WorkerRegistry,
     route_times: RouteTimes,
+    urgency_record: UrgencyRecord,
     crash_log: CrashLog,
     /// When the workers that are left to confined routes were last chosen.
     quarantine_updated_at: MonoTime,
@@ -228,6 +230,7 @@
             job_table: JobTable::default(),
             worker_registry,
             route_times: RouteTimes::default(),
+            urgency_record: UrgencyRecord::default(),
             crash_log: CrashLog::default(),
             quarantine_updated_at: MonoTime::ZERO,
             load,
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -100,6 +100,7 @@
             self.log(format!("event=job_refused job={id} reason=load delay_ms={delay_ms}"));
             return self.refuse(reply, "there is no room in time", resubmit_delay(delay, id));
         }
+        self.urgency_record.record(self.now, &route.service, route.priority);
         let open_job = OpenJob::new(job, route.clone(), self.now, times);
         self.log(format!(
             "event=job_admitted job={id} route={} version={} tasks={} age_ms={} wanted_ms={} patience_ms={} delay_ms={delay_ms}",
@@ -139,7 +140,7 @@
     }
 
     fn answer_queue_query(&mut self, reply: ReplyId, route: &Arc<RouteRule>) {
-        let queued = self.job_table.jobs().filter(|job| job.route.name == route.name && !job.has_run && !job.has_sent_runs());
+        let queued = self.job_table.jobs().filter(|job| job.route.name == route.name && !job.has_begun());
         let length = queued.count();
         self.reply(reply, CallerAnswer::QueueLength(length));
     }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -13,6 +13,7 @@
 use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
 use crate::entry::open_job::{FormerRun, OpenJob};
 use crate::entry::quarantine::WorkerPool;
+use crate::entry::room_claim::RoomClaim;
 use crate::entry::worker_registry::CapacityRequest;
 use crate::entry::worker_speeds::TaskTiming;
 
@@ -32,7 +33,7 @@
     service: ServiceName,
     demand: ResourceAmount,
     required_label: Option<SmolStr>,
-    is_late: bool,
+    claim: RoomClaim,
     pool: WorkerPool,
 }
 
@@ -43,7 +44,7 @@
                 service: request.service.clone(),
                 demand: *request.demand,
                 required_label: request.required_label.cloned(),
-                is_late: request.is_late,
+                claim: request.claim,
                 pool: request.pool,
             });
         }
@@ -54,11 +55,7 @@
         let is_covering = |unmet: &UnmetRequest| {
             let has_label = unmet.required_label.is_none() || unmet.required_label.as_ref() == request.required_label;
             let has_pool = unmet.pool == request.pool || unmet.pool == WorkerPool::All;
-            has_pool
-                && unmet.service == *request.service
-                && unmet.demand.fits(request.demand)
-                && has_label
-                && (request.is_late || !unmet.is_late)
+            has_pool && unmet.service == *request.service && unmet.demand.fits(request.demand) && has_label && unmet.claim <= request.claim
         };
         self.requests.iter().any(is_covering)
     }
@@ -105,8 +102,7 @@
             return;
         };
         let (payload, route, job_spec) = (job.job.payload.clone(), job.route.clone(), job.job.clone());
-        // The rest of a job that has begun is placed like others, since the work that is done would be lost.
-        let is_late = job.times.is_late(self.now) && !job.has_run && !job.has_sent_runs();
+        let claim = self.room_claim(job);
         let ready: Vec<TaskId> = job.ready_tasks().collect();
         for task in ready {
             let step = &job_spec.steps[usize::from(task.step)];
@@ -119,7 +115,7 @@
                 required_label: step.required_label.as_ref(),
                 preferred_rack: step.preferred_rack.as_ref(),
                 excluded: &[],
-                is_late,
+                claim,
                 pool: self.worker_registry.quarantine().pool(&route.service, &route.name),
                 timing: self.task_timing(job, step),
             };
@@ -137,6 +133,23 @@
         }
     }
 
+    /// Returns the claim of a job's waiting tasks on the workers' free capacity. The rest of a job that has begun has the strongest, since
+    /// the work that is done would be lost.
+    fn room_claim(&self, job: &OpenJob) -> RoomClaim {
+        if job.has_begun() {
+            return RoomClaim::Urgent;
+        }
+        if job.times.is_late(self.now) {
+            return RoomClaim::Late;
+        }
+        let is_urgent = self.urgency_record.is_most_urgent(self.now, &job.route.service, job.route.priority);
+        if is_urgent {
+            RoomClaim::Urgent
+        } else {
+            RoomClaim::Ordinary
+        }
+    }
+
     /// Returns the time that a task of a step has: until its job's target, less what has to follow it at least.
     fn task_timing(&self, job: &OpenJob, step: &JobStep) -> Option<TaskTiming> {
         let speed_table = self.worker_registry.speed_table();
@@ -152,7 +165,7 @@
         };
         let (demand, estimate) = (step.demand, step.estimate);
         let Some((arrived_at, route, is_first)) = self.job_table.get(&task.job).map(|job| {
-            let is_first = !job.has_run && !job.has_sent_runs();
+            let is_first = !job.has_begun();
             (job.arrived_at, job.route.clone(), is_first)
         }) else {
             return;
@@ -206,7 +219,7 @@
             let Some(job) = self.job_table.get(&id) else {
                 continue;
             };
-            let has_started = job.has_run || job.has_sent_runs();
+            let has_started = job.has_begun();
             let waited = self.now.since(job.arrived_at);
             let retry_after = resubmit_delay(self.start_delay(&job.times, &job.route), id);
             self.log(format!("event=job_late job={id} waited_ms={} started={has_started}", waited.as_millis()));
@@ -222,7 +235,7 @@
     /// Returns whether a job has expired. A started job expires when its caller times out. A waiting job expires when it
     /// can no longer end early enough to be useful to its caller.
     fn is_expired(&self, job: &OpenJob) -> bool {
-        if job.has_run || job.has_sent_runs() {
+        if job.has_begun() {
             return self.now >= job.times.abandon_at;
         }
         job.times.is_too_late(self.now, Duration::ZERO)
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -145,6 +145,11 @@
         self.slots().any(|slot| matches!(slot.state, SlotState::Sent { .. }))
     }
 
+    /// Returns whether a task of the job has run or was sent to an agent.
+    pub fn has_begun(&self) -> bool {
+        self.has_run || self.has_sent_runs()
+    }
+
     /// Returns whether a caller waits for the job and it has neither ended nor been abandoned.
     pub fn is_active(&self) -> bool {
         !self.is_stopping && self.final_phase.is_none() && !self.waiters.is_empty()
@@ -204,7 +209,7 @@
     pub fn phase(&self) -> JobPhase {
         match self.final_phase {
             Some(phase) => phase,
-            None if self.has_run || self.has_sent_runs() => JobPhase::Running,
+            None if self.has_begun() => JobPhase::Running,
             None => JobPhase::Queued,
         }
     }
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -10,6 +10,7 @@
 use vanillacleat_core::run_frames::{KnownSpeeds, RouteSpeed, RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Millis, MonoTime};
 
+use super::room_claim::RoomClaim;
 use super::worker_performance::WorkerPerformance;
 use super::worker_speeds::WorkerRatio;
 use crate::agent::is_plausible;
@@ -33,10 +34,6 @@
 /// Part of a worker's processor capacity that is left to the entries of its own zone, in percent.
 const LOCAL_ZONE_PERCENT: u64 = 20;
 
-/// Part of a worker's processor capacity that is left to jobs that can still be answered in time, in percent. Entries don't see
-/// each other's waiting jobs: without it, a late job of one entry takes the room that a job of another entry needs.
-const IN_TIME_PERCENT: u64 = 15;
-
 /// Holds the state of one worker and the capacity that it has for this entry.
 #[derive(Clone, Debug)]
 pub struct WorkerCapacity {
@@ -235,9 +232,9 @@
         self.free_capacity_without(LOCAL_ZONE_PERCENT)
     }
 
-    /// Returns the part of the free capacity that jobs may use that can't be answered in time any more.
-    pub fn capacity_for_late_jobs(&self) -> ResourceAmount {
-        self.free_capacity_without(IN_TIME_PERCENT)
+    /// Returns the part of the free capacity that tasks with this claim may use.
+    pub fn capacity_for(&self, claim: RoomClaim) -> ResourceAmount {
+        self.free_capacity_without(claim.reserved_percent())
     }
 
     /// Returns the free capacity less `percent` of the worker's processor capacity.
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -12,6 +12,7 @@
 
 use super::job_order::core_share;
 use super::quarantine::{select_workers, Quarantine, WorkerPool};
+use super::room_claim::RoomClaim;
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_performance::WorkerPerformance;
@@ -37,8 +38,8 @@
     pub preferred_rack: Option<&'a SmolStr>,
     /// Agents that the task must not be sent to.
     pub excluded: &'a [AgentId],
-    /// Whether the task's job can no longer end by its target time. Such a task gets no worker that is nearly full.
-    pub is_late: bool,
+    /// Which part of a worker's free capacity the task may use.
+    pub claim: RoomClaim,
     /// The workers on which the task may run.
     pub pool: WorkerPool,
     /// The time that the task has. Absent if its run time is unknown.
@@ -397,7 +398,7 @@
         return false;
     };
     info.service == *request.service
-        && request.demand.fits(&if request.is_late { worker.capacity_for_late_jobs() } else { worker.free_capacity() })
+        && request.demand.fits(&worker.capacity_for(request.claim))
         && !zones_out.contains(&worker.zone)
         && request.required_label.is_none_or(|label| has_label(worker, label))
         && !request.excluded.contains(&worker.agent)
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -13,7 +13,7 @@
 use vanillacleat_runs::agent::{
     LeasePollReply, RunList, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, StopReply, WorkerCall, WorkerNotice, WorkerReply,
 };
-use vanillacleat_runs::entry::{CapacityRequest, DispatchAction, DispatchControl, DispatchEvent, WorkerPool};
+use vanillacleat_runs::entry::{CapacityRequest, DispatchAction, DispatchControl, DispatchEvent, RoomClaim, WorkerPool};
 use vanillacleat_runs::LeaseTerms;
 
 mod support;
@@ -209,7 +209,7 @@
         required_label: None,
         preferred_rack: None,
         excluded: &[],
-        is_late: false,
+        claim: RoomClaim::Urgent,
         pool: WorkerPool::All,
         timing: None,
     };
--- a/crates/runs/tests/placement_choice.rs
+++ b/crates/runs/tests/placement_choice.rs
@@ -16,7 +16,7 @@
 use vanillacleat_core::ids::{AgentId, Incarnation, ServiceName, ZoneName};
 use vanillacleat_core::run_frames::{RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
-use vanillacleat_runs::entry::{CapacityRequest, WorkerCapacity, WorkerPool, WorkerRegistry};
+use vanillacleat_runs::entry::{CapacityRequest, RoomClaim, WorkerCapacity, WorkerPool, WorkerRegistry};
 
 const ENTRIES: usize = 3;
 const WORKERS: usize = 12;
@@ -215,7 +215,7 @@
                 required_label: None,
                 preferred_rack: None,
                 excluded: &[],
-                is_late: false,
+                claim: RoomClaim::Urgent,
                 pool: WorkerPool::All,
                 timing: None,
             };
--- a/crates/runs/tests/uneven_choice.rs
+++ b/crates/runs/tests/uneven_choice.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::ResourceAmount;
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_runs::entry::{CapacityRequest, TaskTiming, WorkerPool, WorkerRegistry};
+use vanillacleat_runs::entry::{CapacityRequest, RoomClaim, TaskTiming, WorkerPool, WorkerRegistry};
 
 use support::uneven_site::{draw_job, make_registry, make_workers, zone, ModelWork, ModelWorker, DEMAND, ROUTES};
 
@@ -155,7 +155,7 @@
             required_label: None,
             preferred_rack: None,
             excluded: &[],
-            is_late: false,
+            claim: RoomClaim::Urgent,
             pool: WorkerPool::All,
             timing: is_timed.then_some(timing),
         };
--- a/crates/runs/tests/uneven_workers.rs
+++ b/crates/runs/tests/uneven_workers.rs
@@ -19,8 +19,8 @@
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::RunSpeeds;
 use vanillacleat_runs::entry::{
-    CallerRequest, CapacityRequest, DispatchAction, DispatchControl, DispatchEvent, JobDraft, RequestKind, TaskTiming, WorkerPool,
-    WorkerRegistry,
+    CallerRequest, CapacityRequest, DispatchAction, DispatchControl, DispatchEvent, JobDraft, RequestKind, RoomClaim, TaskTiming,
+    WorkerPool, WorkerRegistry,
 };
 
 use support::plans::{make_options, make_plan};
@@ -329,7 +329,7 @@
         required_label: None,
         preferred_rack: None,
         excluded: &[],
-        is_late: false,
+        claim: RoomClaim::Urgent,
         pool: WorkerPool::All,
         timing: Some(timing),
     };
