--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -26,7 +26,7 @@
 const START_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time that a start waits for free capacity at this worker. After that it is rejected, because its entry may
 /// find a worker that can start it sooner.
-const QUEUE_WAIT_MAX: Duration = Duration::from_millis(10);
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(25);
 
 impl RunnerControl {
     pub(super) fn handle_frame(&mut self, session: SessionId, frame: OrderFrame) {
