--- a/crates/runs/src/entry/room_claim.rs
+++ b/crates/runs/src/entry/room_claim.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::ids::ServiceName;
 use vanillacleat_core::units::MonoTime;
 
-/// Part of a worker's processor capacity that is left to the most urgent routes, in percent. It is about one task of a tenth of a worker.
+/// Part of a worker's processor capacity that is left to the most urgent routes, in percent. It is one task where a worker runs ten.
 const URGENT_PERCENT: u64 = 10;
 /// Part of a worker's processor capacity that is left to jobs that can still be answered in time, in percent.
 const IN_TIME_PERCENT: u64 = 20;
@@ -49,18 +49,14 @@
 impl UrgencyRecord {
     /// Records the arrival of a job.
     pub fn record(&mut self, now: MonoTime, service: &ServiceName, priority: u32) {
-        if !self.arrivals.contains_key(service) {
-            self.arrivals.insert(service.clone(), BTreeMap::new());
-        }
-        if let Some(arrivals) = self.arrivals.get_mut(service) {
-            arrivals.retain(|_, at| now.since(*at) < URGENT_MEMORY);
-            arrivals.insert(priority, now);
-        }
+        let arrivals = self.arrivals.entry(service.clone()).or_default();
+        arrivals.retain(|_, at| now.since(*at) < URGENT_MEMORY);
+        arrivals.insert(priority, now);
     }
 
     /// Returns whether no job of a more urgent route of the service has arrived lately.
     pub fn is_most_urgent(&self, now: MonoTime, service: &ServiceName, priority: u32) -> bool {
-        let more_urgent = self.arrivals.get(service).into_iter().flat_map(|arrivals| arrivals.range(..priority));
-        more_urgent.into_iter().all(|(_, at)| now.since(*at) >= URGENT_MEMORY)
+        let mut more_urgent = self.arrivals.get(service).into_iter().flat_map(|arrivals| arrivals.range(..priority));
+        more_urgent.all(|(_, at)| now.since(*at) >= URGENT_MEMORY)
     }
 }
