A task that needs nearly a whole worker may use the room that is left to others

Change: what is left to others is at most what the task doesn't need of an idle worker. late_jobs::task_of_a_whole_worker_starts_whatever_its_claim fails without it.

--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -232,9 +232,13 @@
         self.free_capacity_without(LOCAL_ZONE_PERCENT)
     }
 
-    /// Returns the part of the free capacity that tasks with this claim may use.
-    pub fn capacity_for(&self, claim: RoomClaim) -> ResourceAmount {
-        self.free_capacity_without(claim.reserved_percent())
+    /// Returns the part of the free capacity that a task with this claim may use. A task that needs nearly the whole worker may use all
+    /// that it needs, since it could never start otherwise.
+    pub fn capacity_for(&self, claim: RoomClaim, demand: &ResourceAmount) -> ResourceAmount {
+        let capacity = self.info.as_ref().map_or(0, |info| info.capacity.millicores);
+        let reserved = capacity.saturating_mul(claim.reserved_percent()) / 100;
+        let millicores = reserved.min(capacity.saturating_sub(demand.millicores));
+        self.free_capacity().saturating_sub(&ResourceAmount { millicores, ..ResourceAmount::default() })
     }
 
     /// Returns the free capacity less `percent` of the worker's processor capacity.
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/worker_registry.rs
@@ -398,7 +398,7 @@
         return false;
     };
     info.service == *request.service
-        && request.demand.fits(&worker.capacity_for(request.claim))
+        && request.demand.fits(&worker.capacity_for(request.claim, request.demand))
         && !zones_out.contains(&worker.zone)
         && request.required_label.is_none_or(|label| has_label(worker, label))
         && !request.excluded.contains(&worker.agent)
--- a/crates/runs/tests/late_jobs.rs
+++ b/crates/runs/tests/late_jobs.rs
@@ -231,3 +231,25 @@
     assert!(shares[0] <= shares[1] / 2.0, "share of wide urgent jobs that were spread, sum of the seeds: {shares:?}");
     assert!(in_time[0] > in_time[1], "urgent jobs in time: {in_time:?}");
 }
+
+/// Guards against tasks that need nearly a whole worker and never start, because a part of it is always left to others.
+#[test]
+fn task_of_a_whole_worker_starts_whatever_its_claim() {
+    let mut model = LateJobsModel::new();
+    model.report_use(1);
+    let demand = ResourceAmount { millicores: DEMAND.millicores * SLOTS, ..DEMAND };
+    for claim in [RoomClaim::Urgent, RoomClaim::Ordinary, RoomClaim::Late] {
+        let request = CapacityRequest {
+            service: &model.service,
+            demand: &demand,
+            required_label: None,
+            preferred_rack: None,
+            excluded: &[],
+            claim,
+            pool: WorkerPool::All,
+            timing: None,
+        };
+        let chosen = model.registry.choose_worker(MonoTime::from_millis(1), &model.zone, &BTreeSet::new(), &request, None);
+        assert!(chosen.is_some(), "{claim:?}");
+    }
+}
