One computation of the room that is left to others, and one request builder in its test

Found in the last reread of the change: the room claim repeated the arithmetic of the zone's reservation, its comment said more than it does, and a test built the same request twice. Behaviour and assertions are unchanged.

--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/worker_capacity.rs
@@ -229,24 +229,30 @@
     /// Returns the part of the free capacity that entries of other zones may use without contention. The rest is left
     /// to the entries of the worker's own zone.
     pub fn capacity_for_other_zones(&self) -> ResourceAmount {
-        self.free_capacity_without(LOCAL_ZONE_PERCENT)
+        self.free_capacity_without(self.share_of_millicores(LOCAL_ZONE_PERCENT))
     }
 
-    /// Returns the part of the free capacity that a task with this claim may use. A task that needs nearly the whole worker may use all
-    /// that it needs, since it could never start otherwise.
+    /// Returns the part of the free capacity that a task with this claim may use. No more is left to others than the task leaves of an
+    /// idle worker: one that needs nearly the whole of it could never start otherwise.
     pub fn capacity_for(&self, claim: RoomClaim, demand: &ResourceAmount) -> ResourceAmount {
-        let capacity = self.info.as_ref().map_or(0, |info| info.capacity.millicores);
-        let reserved = capacity.saturating_mul(claim.reserved_percent()) / 100;
-        let millicores = reserved.min(capacity.saturating_sub(demand.millicores));
-        self.free_capacity().saturating_sub(&ResourceAmount { millicores, ..ResourceAmount::default() })
+        let beside = self.millicores().saturating_sub(demand.millicores);
+        self.free_capacity_without(self.share_of_millicores(claim.reserved_percent()).min(beside))
     }
 
-    /// Returns the free capacity less `percent` of the worker's processor capacity.
-    fn free_capacity_without(&self, percent: u64) -> ResourceAmount {
-        let millicores = self.info.as_ref().map_or(0, |info| info.capacity.millicores.saturating_mul(percent) / 100);
+    fn free_capacity_without(&self, millicores: u64) -> ResourceAmount {
         self.free_capacity().saturating_sub(&ResourceAmount { millicores, ..ResourceAmount::default() })
     }
 
+    /// Returns `percent` of the worker's processor capacity.
+    fn share_of_millicores(&self, percent: u64) -> u64 {
+        self.millicores().saturating_mul(percent) / 100
+    }
+
+    /// Returns the worker's processor capacity. It is zero until the agent has reported its worker.
+    fn millicores(&self) -> u64 {
+        self.info.as_ref().map_or(0, |info| info.capacity.millicores)
+    }
+
     /// Returns whether starts may be sent to the agent at `now`.
     pub fn is_usable(&self, now: MonoTime) -> bool {
         let is_ready = self.info.as_ref().is_some_and(|info| info.is_ready);
--- a/crates/runs/tests/late_jobs.rs
+++ b/crates/runs/tests/late_jobs.rs
@@ -121,6 +121,19 @@
         self.waiting[rng.random_range(0..ENTRIES)].push(job);
     }
 
+    fn request<'a>(&'a self, demand: &'a ResourceAmount, claim: RoomClaim) -> CapacityRequest<'a> {
+        CapacityRequest {
+            service: &self.service,
+            demand,
+            required_label: None,
+            preferred_rack: None,
+            excluded: &[],
+            claim,
+            pool: WorkerPool::All,
+            timing: None,
+        }
+    }
+
     /// Places an entry's waiting tasks with the claims that `claim_of` returns for jobs that have not begun.
     fn place_jobs(&mut self, now: u64, entry: usize, claim_of: impl Fn(&WaitingJob, MonoTime) -> RoomClaim) {
         let at = MonoTime::from_millis(now);
@@ -130,16 +143,7 @@
         for job in &mut jobs {
             let claim = if job.has_begun { RoomClaim::Urgent } else { claim_of(job, at) };
             while job.unplaced > 0 {
-                let request = CapacityRequest {
-                    service: &self.service,
-                    demand: &DEMAND,
-                    required_label: None,
-                    preferred_rack: None,
-                    excluded: &[],
-                    claim,
-                    pool: WorkerPool::All,
-                    timing: None,
-                };
+                let request = self.request(&DEMAND, claim);
                 let Some(chosen) = self.registry.choose_worker(at, &self.zone, &BTreeSet::new(), &request, None).cloned() else {
                     break;
                 };
@@ -239,16 +243,7 @@
     model.report_use(1);
     let demand = ResourceAmount { millicores: DEMAND.millicores * SLOTS, ..DEMAND };
     for claim in [RoomClaim::Urgent, RoomClaim::Ordinary, RoomClaim::Late] {
-        let request = CapacityRequest {
-            service: &model.service,
-            demand: &demand,
-            required_label: None,
-            preferred_rack: None,
-            excluded: &[],
-            claim,
-            pool: WorkerPool::All,
-            timing: None,
-        };
+        let request = model.request(&demand, claim);
         let chosen = model.registry.choose_worker(MonoTime::from_millis(1), &model.zone, &BTreeSet::new(), &request, None);
         assert!(chosen.is_some(), "{claim:?}");
     }
