Log and count why a job was late, and sum the causes from logs

An answer later than its target had no line that says why; explaining one took the whole timeline of a request. The entry keeps when a job's tasks were sent, logs event=job_delayed with the parts of the response time and the longest avoidable one, and counts it in runs_job_late_seconds by cause. vanillacleat causes counts them by route, with refusals and abandoned jobs, from entries' logs.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -83,6 +83,13 @@
         #[bpaf(positional("LOG"))]
         files: Vec<PathBuf>,
     },
+    /// Counts from the logs of entries why jobs were late or refused
+    #[bpaf(command)]
+    Causes {
+        /// Log files of entries; standard input if none are given
+        #[bpaf(positional("LOG"))]
+        files: Vec<PathBuf>,
+    },
     /// Checks a settings file of an entry or an agent
     #[bpaf(command)]
     Check {
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -89,6 +89,16 @@
 
 /// Prints the timeline of the request `id` from the log files, or from standard input if there are none.
 pub fn explain(id: &str, files: &[PathBuf]) -> CommandResult {
+    let timeline = build_timeline(id, read_logs(files)?);
+    if timeline.is_empty() {
+        return Err(Report::new(CommandError::File).attach_printable(format!("no log line contains {id:?}")));
+    }
+    timeline.iter().for_each(|line| println!("{line}"));
+    Ok(())
+}
+
+/// Reads log files, or standard input if there are none.
+pub(crate) fn read_logs(files: &[PathBuf]) -> Result<Vec<LogLine>, Report<CommandError>> {
     let mut lines = Vec::new();
     for file in files {
         let source = file.file_stem().map_or_else(|| file.display().to_string(), |stem| stem.to_string_lossy().into_owned());
@@ -99,12 +109,7 @@
     if files.is_empty() {
         read_lines("stdin", std::io::stdin(), &mut lines)?;
     }
-    let timeline = build_timeline(id, lines);
-    if timeline.is_empty() {
-        return Err(Report::new(CommandError::File).attach_printable(format!("no log line contains {id:?}")));
-    }
-    timeline.iter().for_each(|line| println!("{line}"));
-    Ok(())
+    Ok(lines)
 }
 
 fn read_lines(source: &str, reader: impl Read, lines: &mut Vec<LogLine>) -> CommandResult {
@@ -116,6 +121,6 @@
 }
 
 /// Returns the value of `key` in a line of `key=value` pairs.
-fn find_field<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+pub(crate) fn find_field<'a>(text: &'a str, key: &str) -> Option<&'a str> {
     text.split_whitespace().find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod causes;
 pub mod change_set;
 pub mod commands;
 pub mod deployment;
@@ -32,6 +33,7 @@
         CliCommand::Config(show) => operators::show_config(&show),
         CliCommand::Dump { address } => operators::dump(address),
         CliCommand::Explain { id, files } => explain::explain(&id, &files),
+        CliCommand::Causes { files } => causes::print_causes(&files),
         CliCommand::Check { settings } => operators::check_settings(&settings),
     };
     match outcome {
--- a/crates/runs-daemon/src/entry_metrics.rs
+++ b/crates/runs-daemon/src/entry_metrics.rs
@@ -4,7 +4,7 @@
 
 use metrics::{Counter, Gauge, Histogram};
 use vanillacleat_core::run_frames::{EndSign, RunOutcome};
-use vanillacleat_runs::entry::Measurement;
+use vanillacleat_runs::entry::{DelayCause, Measurement};
 
 /// Handles of an entry's metrics. Those with labels are looked up in the recorder once, when their labels first occur.
 pub(crate) struct EntryMetrics {
@@ -25,6 +25,7 @@
     placed_again: HashMap<(RunOutcome, EndSign), Counter>,
     /// By the priority of the route and the kind of the answer.
     responses: HashMap<(u32, &'static str), Histogram>,
+    delays: HashMap<DelayCause, Histogram>,
 }
 
 impl EntryMetrics {
@@ -41,6 +42,7 @@
             placement_waits: HashMap::new(),
             placed_again: HashMap::new(),
             responses: HashMap::new(),
+            delays: HashMap::new(),
         }
     }
 
@@ -70,6 +72,11 @@
                     .or_insert_with(|| metrics::histogram!("runs_response_seconds", "priority" => priority.to_string(), "kind" => kind));
                 response.record(after.as_secs_f64());
             }
+            Measurement::Delayed { cause, late } => {
+                let delays = self.delays.entry(cause);
+                let delay = delays.or_insert_with(|| metrics::histogram!("runs_job_late_seconds", "cause" => cause.as_str()));
+                delay.record(late.as_secs_f64());
+            }
         }
     }
 }
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -23,6 +23,7 @@
 use super::caller_api::{CallerAnswer, CallerRequest};
 use super::crash_log::CrashLog;
 use super::entry_load::EntryLoad;
+use super::job_delay::DelayCause;
 use super::job_homes::JobHomes;
 use super::job_table::JobTable;
 use super::peer_registry::{PeerIdentity, PeerRegistry};
@@ -160,6 +161,13 @@
         /// The time since the job arrived.
         after: Duration,
     },
+    /// A job was done late.
+    Delayed {
+        /// What made it late.
+        cause: DelayCause,
+        /// How much later than its target the answer came.
+        late: Duration,
+    },
 }
 
 /// The whole control state of one entry. Feed it events and execute the actions that it returns.
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -174,9 +174,14 @@
     pub(super) fn apply_effects(&mut self, effects: Vec<JobEffect>) {
         for effect in effects {
             match effect {
-                JobEffect::Answer { job, arrival: (arrived_at, priority), waiters, answer } => {
-                    let after = self.now.since(arrived_at);
-                    self.actions.push(DispatchAction::Measured(Measurement::Answered { priority, kind: answer.kind(), after }));
+                JobEffect::Answer { job, arrival, delay, waiters, answer } => {
+                    let after = self.now.since(arrival.at);
+                    let measurement = Measurement::Answered { priority: arrival.priority, kind: answer.kind(), after };
+                    self.actions.push(DispatchAction::Measured(measurement));
+                    if let Some(delay) = delay {
+                        self.actions.push(DispatchAction::Measured(Measurement::Delayed { cause: delay.cause, late: delay.late }));
+                        self.log(format!("event=job_delayed job={job} route={} {delay}", arrival.route));
+                    }
                     self.log(format!("event=job_answered job={job} answer={answer:?} waiters={}", waiters.len()));
                     waiters.into_iter().for_each(|waiter| self.reply(waiter, answer.clone()));
                 }
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -171,7 +171,7 @@
             return;
         };
         let order = OrderId { entry: self.options.incarnation, number: self.last_order + 1 };
-        let Some(run) = self.job_table.mark_sent(task, agent, order) else {
+        let Some(run) = self.job_table.mark_sent(self.now, task, agent, order) else {
             return;
         };
         self.last_order = order.number;
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/job_table.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::AgentId;
@@ -10,6 +11,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_api::{CallerAnswer, JobPhase};
+use super::job_delay::JobDelay;
 use super::job_order::JobRank;
 use super::open_job::{FormerRun, OpenJob, SlotState};
 
@@ -31,8 +33,10 @@
     Answer {
         /// The job.
         job: CallerJobId,
-        /// When the job arrived at this entry, and the priority of its route.
-        arrival: (MonoTime, u32),
+        /// When the job arrived at this entry, and the priority and name of its route.
+        arrival: JobArrival,
+        /// The parts of the response time, if the job is done late.
+        delay: Option<JobDelay>,
         /// Where the answer goes.
         waiters: Vec<ReplyId>,
         /// The answer.
@@ -47,6 +51,17 @@
     },
 }
 
+/// The arrival of a job at this entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JobArrival {
+    /// When the job arrived.
+    pub at: MonoTime,
+    /// The priority of the job's route.
+    pub priority: u32,
+    /// The name of the job's route.
+    pub route: SmolStr,
+}
+
 /// The result of recording the end of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedRun {
@@ -153,7 +168,7 @@
     pub fn refuse(&mut self, id: &CallerJobId, reason: &'static str, retry_after: Duration) -> Vec<JobEffect> {
         let (waiters, arrival) = (self.take_waiters(id), self.arrival(id));
         self.remove(id);
-        vec![JobEffect::Answer { job: *id, arrival, waiters, answer: CallerAnswer::Refused { reason, retry_after } }]
+        vec![JobEffect::Answer { job: *id, arrival, delay: None, waiters, answer: CallerAnswer::Refused { reason, retry_after } }]
     }
 
     /// Returns the jobs with ready tasks in the order in which to place them.
@@ -179,13 +194,15 @@
     }
 
     /// Records that a waiting task is sent to an agent with an order. Returns the run, or `None` if the task is not waiting.
-    pub fn mark_sent(&mut self, task: &TaskId, agent: &AgentId, order: OrderId) -> Option<RunId> {
+    pub fn mark_sent(&mut self, now: MonoTime, task: &TaskId, agent: &AgentId, order: OrderId) -> Option<RunId> {
         let job = self.jobs.get_mut(&task.job)?;
         job.last_agent = Some(agent.clone());
         let slot = job.slot_mut(task).filter(|slot| slot.state == SlotState::Waiting)?;
         slot.runs += 1;
         slot.state = SlotState::Sent { agent: agent.clone(), order, is_stopping: false };
         let run = RunId { task: *task, run: slot.runs };
+        let former = slot.former_run.map(|former| former.outcome);
+        job.sends.record(now, former);
         self.update_ready(&task.job);
         Some(run)
     }
@@ -279,13 +296,16 @@
     /// Ends a job in `phase`: answers its callers, keeps the phase for later queries and stops the remaining runs.
     fn end_job(&mut self, now: MonoTime, id: &CallerJobId, phase: JobPhase, answer: CallerAnswer) -> Vec<JobEffect> {
         let (waiters, arrival) = (self.take_waiters(id), self.arrival(id));
+        let mut delay = None;
         if let Some(job) = self.jobs.get_mut(id) {
             job.final_phase = Some(phase);
+            let is_done = phase == JobPhase::Succeeded;
+            delay = JobDelay::new(now, job.arrived_at, &job.times, &job.sends).filter(|_| is_done);
         }
         self.final_phases.insert(*id, phase);
         self.final_phase_order.push_back((now, *id));
         let mut effects = self.stop_job(id);
-        effects.push(JobEffect::Answer { job: *id, arrival, waiters, answer });
+        effects.push(JobEffect::Answer { job: *id, arrival, delay, waiters, answer });
         effects
     }
 
@@ -318,12 +338,12 @@
         if waiters.is_empty() {
             return Vec::new();
         }
-        vec![JobEffect::Answer { job: *id, arrival, waiters, answer: CallerAnswer::Abandoned(ABANDONED_REASON) }]
+        vec![JobEffect::Answer { job: *id, arrival, delay: None, waiters, answer: CallerAnswer::Abandoned(ABANDONED_REASON) }]
     }
 
-    /// Returns when a job arrived and the priority of its route.
-    fn arrival(&self, id: &CallerJobId) -> (MonoTime, u32) {
-        self.jobs.get(id).map(|job| (job.arrived_at, job.route.priority)).unwrap_or_default()
+    fn arrival(&self, id: &CallerJobId) -> JobArrival {
+        let arrival = |job: &OpenJob| JobArrival { at: job.arrived_at, priority: job.route.priority, route: job.route.name.clone() };
+        self.jobs.get(id).map(arrival).unwrap_or_default()
     }
 
     fn take_waiters(&mut self, id: &CallerJobId) -> Vec<ReplyId> {
--- a/crates/runs/src/entry/mod.rs
+++ b/crates/runs/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod crash_log;
 mod dispatch;
 mod entry_load;
+mod job_delay;
 mod job_homes;
 mod job_order;
 mod job_table;
@@ -26,8 +27,9 @@
 pub use crash_log::{CrashLog, CrashVerdict};
 pub use dispatch::{DispatchAction, DispatchControl, DispatchEvent, DispatchOptions, Measurement, PeerAction, PeerEvent};
 pub use entry_load::EntryLoad;
+pub use job_delay::{DelayCause, JobDelay, SendRecord};
 pub use job_order::{core_share, job_age, queue_wait, resubmit_delay, JobRank, JobTimes};
-pub use job_table::{JobEffect, JobTable};
+pub use job_table::{JobArrival, JobEffect, JobTable};
 pub use open_job::{FormerRun, OpenJob, TaskSlot};
 pub use peer_registry::{FrameRefusal, PeerIdentity, PeerLink, PeerRegistry};
 pub use quarantine::{ConfinementChange, Quarantine, WorkerPool};
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/open_job.rs
@@ -11,6 +11,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::caller_api::JobPhase;
+use super::job_delay::SendRecord;
 use super::job_order::{JobRank, JobTimes};
 
 /// The state of a task.
@@ -82,6 +83,8 @@
     pub is_stopping: bool,
     /// The agent that the last started task was sent to.
     pub last_agent: Option<AgentId>,
+    /// When the tasks were sent.
+    pub sends: SendRecord,
 }
 
 impl OpenJob {
@@ -100,6 +103,7 @@
             final_phase: None,
             is_stopping: false,
             last_agent: None,
+            sends: SendRecord::default(),
         }
     }
 
