Folders of the entry's modules, and four circles of imports opened

What two modules imported from each other has a module of its own or stands with its only user: the size limit of a body, the inputs of an entry's control thread, the end of an incarnation, the interval of repeated calls, a worker's ratio. No behaviour changes.

--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -13,10 +13,7 @@
 use tokio::sync::oneshot;
 use vanillacleat_core::api::ProblemBody;
 
-use crate::request_body::BodyError;
-
-/// Maximum size of a request body, in bytes.
-pub const BODY_BYTES_MAX: u64 = 4 * 1024 * 1024;
+use crate::request_body::{BodyError, BODY_BYTES_MAX};
 
 /// Returns the configuration of a server at `address`. The server writes no logs of its own and installs no signal handlers.
 pub fn server_config(address: SocketAddr) -> rocket::Config {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,12 +20,12 @@
 
 pub use control_thread::{spawn_batch_thread, spawn_control_thread, ControlStep, EventBatch, EventSender, PauseSwitch};
 pub use host_clock::{unix_millis, SuspensionWatch};
-pub use http_server::{launch_server, server_config, ProblemReply, ServerError, BODY_BYTES_MAX};
+pub use http_server::{launch_server, server_config, ProblemReply, ServerError};
 pub use logging::{finish_logging, init_command_logging, init_logging};
 pub use metrics_page::{install_metrics, render_metrics};
 pub use process_handle::{EventSink, ProcessHandle};
 pub use process_runtime::ProcessRuntime;
-pub use request_body::{BodyError, JsonBody, TextBody};
+pub use request_body::{BodyError, JsonBody, TextBody, BODY_BYTES_MAX};
 pub use settings_file::{load_settings, parse_settings, DaemonError};
 pub use settings_reload::{diff_settings, follow_reloads, ReloadFlag, SettingChange};
 pub use signals::{wait_for_stop_signal, StopSignal};
--- a/crates/daemon/src/request_body.rs
+++ b/crates/daemon/src/request_body.rs
@@ -13,8 +13,8 @@
 use tokio::time::timeout;
 use vanillacleat_core::units::ByteCount;
 
-use crate::http_server::BODY_BYTES_MAX;
-
+/// Maximum size of a request body, in bytes.
+pub const BODY_BYTES_MAX: u64 = 4 * 1024 * 1024;
 /// Maximum number of bytes that are read from one request. The connection is closed if a body is longer.
 const DISCARDED_BYTES_MAX: u64 = 4 * BODY_BYTES_MAX;
 /// Maximum time for which the rest of an oversized body is read.
--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -19,7 +19,8 @@
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchControl, DispatchEvent, DispatchOptions};
 use vanillacleat_wire::{run_session, serve_listener, session_queue, IncomingStream, SessionStream};
 
-use crate::entry_loop::{make_frame_event, EntryInput, EntryLoop, EntryStatus};
+use crate::entry_input::EntryInput;
+use crate::entry_loop::{make_frame_event, EntryLoop, EntryStatus};
 use crate::peer_sessions::serve_peer;
 use crate::run_settings::RunsEntrySettings;
 
--- a/crates/runs-daemon/src/entry_loop.rs
+++ b/crates/runs-daemon/src/entry_loop.rs
@@ -7,34 +7,17 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use vanillacleat_control::{ReplyId, SessionId};
-use vanillacleat_core::peer_frames::PeerFrame;
 use vanillacleat_core::run_frames::{OrderFrame, RunFrame};
 use vanillacleat_core::units::MonoTime;
 use vanillacleat_daemon::{ControlStep, EventBatch, EventSink};
-use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, PeerAction, PeerEvent};
+use vanillacleat_runs::entry::{CallerAnswer, DispatchAction, DispatchControl, DispatchEvent, PeerAction, PeerEvent};
 use vanillacleat_wire::SessionQueue;
 
 use crate::caller_confirmation::confirm_callers;
+use crate::entry_input::EntryInput;
 use crate::entry_metrics::EntryMetrics;
 use crate::peer_sessions::{dial_peer, PeerQueues};
 
-/// Input of the control thread.
-#[derive(Debug)]
-pub(crate) enum EntryInput {
-    /// An event for the control state.
-    Event(DispatchEvent),
-    /// A caller's request, and the channel for its answer.
-    Request(ReplyId, CallerRequest, oneshot::Sender<CallerAnswer>),
-    /// Adds the outgoing queue of a session that an agent opened, and returns the session's id through the channel.
-    RegisterSession(SessionQueue<OrderFrame>, oneshot::Sender<SessionId>),
-    /// Adds the outgoing queue of a link to another entry, and returns the link's session through the channel.
-    RegisterPeer(SessionQueue<PeerFrame>, oneshot::Sender<SessionId>),
-    /// Requests a dump of the control state.
-    Dump(oneshot::Sender<serde_json::Value>),
-    /// Stops the control thread, because the daemon was dropped.
-    Stop,
-}
-
 /// The part of the control state that I/O threads read.
 #[derive(Debug, Default)]
 pub(crate) struct EntryStatus {
--- a/crates/runs-daemon/src/lib.rs
+++ b/crates/runs-daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod agent_loop;
 mod caller_confirmation;
 mod entry_daemon;
+mod entry_input;
 mod entry_loop;
 mod entry_metrics;
 mod peer_sessions;
--- a/crates/runs-daemon/src/peer_sessions.rs
+++ b/crates/runs-daemon/src/peer_sessions.rs
@@ -12,7 +12,7 @@
 use vanillacleat_runs::entry::{DispatchControl, DispatchEvent, PeerEvent};
 use vanillacleat_wire::{run_session, session_queue, FrameReceiver, FrameSender, OpenSession, SessionQueue, SessionStream};
 
-use crate::entry_loop::EntryInput;
+use crate::entry_input::EntryInput;
 
 /// The queues of the frames to peers.
 pub(crate) struct PeerQueues {
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -3,6 +3,7 @@
 
 mod call_pacing;
 mod crashes;
+mod incarnation_end;
 mod incarnations;
 mod lease_polls;
 mod orders;
--- a/crates/runs/src/agent/runner/call_pacing.rs
+++ b/crates/runs/src/agent/runner/call_pacing.rs
@@ -7,8 +7,8 @@
 
 use vanillacleat_core::units::MonoTime;
 
-use super::orders::RETRY_INTERVAL;
-
+/// Time without an answer after which a start or stop call is sent again, to a worker that answers in time.
+const RETRY_INTERVAL: Duration = Duration::from_millis(25);
 /// The interval between two repeated calls is this fraction of the time without an answer.
 const INTERVAL_DIVISOR: u32 = 4;
 /// Maximum interval between two repeated calls. A worker that answers again is noticed within this time.
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -11,6 +11,7 @@
 use vanillacleat_core::run_frames::{EndSign, RunOutcome};
 use vanillacleat_core::units::MonoTime;
 
+use super::incarnation_end::IncarnationEnd;
 use super::lease_polls::{PollState, Probe, POLL_RETRY_DELAY};
 use super::{RunnerAction, RunnerControl};
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
@@ -18,24 +19,6 @@
 use crate::agent::worker_incarnation::{WorkerIncarnation, WorkerNotice};
 use crate::log_fields::format_age;
 
-/// The sign on which an agent no longer calls the worker's incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct IncarnationEnd {
-    /// Short form of the cause in logs.
-    cause: &'static str,
-    /// What arrived, in logs.
-    sign: &'static str,
-}
-
-impl IncarnationEnd {
-    pub(super) const HEARTBEAT: Self = Self { cause: "reborn", sign: "confirmed_heartbeat" };
-    pub(super) const LATER_LIST: Self = Self { cause: "reborn", sign: "list" };
-    pub(super) const DEREGISTRATION: Self = Self { cause: "left", sign: "deregistration" };
-    pub(super) const POLL_MISDIRECTED: Self = Self { cause: "other_life", sign: "poll_reply" };
-    pub(super) const START_MISDIRECTED: Self = Self { cause: "other_life", sign: "start_reply" };
-    pub(super) const STOP_MISDIRECTED: Self = Self { cause: "other_life", sign: "stop_reply" };
-}
-
 /// An incarnation of the worker that the agent has lost.
 #[derive(Clone, Debug)]
 pub(super) struct LostIncarnation {
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -8,7 +8,7 @@
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::call_pacing::CallPacing;
-use super::incarnations::IncarnationEnd;
+use super::incarnation_end::IncarnationEnd;
 use super::RunnerControl;
 use crate::agent::calls::{LeasePollReply, RunList, WorkerCall};
 use crate::agent::run_table::{RunOwner, RunState, StopCause};
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -9,7 +9,7 @@
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::incarnations::IncarnationEnd;
+use super::incarnation_end::IncarnationEnd;
 use super::lease_polls::LOSSY_INTERVAL;
 use super::{RunnerAction, RunnerControl};
 use crate::agent::calls::{StartRejection, StartReply, StopReply, WorkerCall};
@@ -20,8 +20,6 @@
 /// Time without an answer after which a start counts as overdue. A worker on the same host usually answers in about a
 /// millisecond.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time without an answer after which a start or stop call is sent again, to a worker that answers in time.
-pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(25);
 /// Time without an answer after which a start is abandoned.
 const START_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time that a start waits for free capacity at this worker. After that it is rejected, because its entry may
--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -10,10 +10,10 @@
 
 use super::{DispatchAction, DispatchControl, Measurement};
 use crate::entry::caller_api::{parse_target, CallerAnswer, CallerRequest, JobDraft, JobPhase, PathTarget, RequestKind};
-use crate::entry::crash_log::CrashVerdict;
-use crate::entry::job_order::{resubmit_delay, JobTimes};
-use crate::entry::job_table::JobEffect;
-use crate::entry::open_job::OpenJob;
+use crate::entry::jobs::job_table::JobEffect;
+use crate::entry::jobs::open_job::OpenJob;
+use crate::entry::order::job_order::{resubmit_delay, JobTimes};
+use crate::entry::workers::crash_log::CrashVerdict;
 use crate::log_fields::format_list;
 
 /// Delay after which a caller should retry if the entry has no configuration yet or is about to exit.
--- a/crates/runs/src/entry/dispatch/crashes.rs
+++ b/crates/runs/src/entry/dispatch/crashes.rs
@@ -10,8 +10,8 @@
 use vanillacleat_core::site_plan::RouteRule;
 
 use super::DispatchControl;
-use crate::entry::crash_log::CrashVerdict;
-use crate::entry::quarantine::ConfinementChange;
+use crate::entry::workers::crash_log::CrashVerdict;
+use crate::entry::workers::quarantine::ConfinementChange;
 use crate::log_fields::format_list;
 
 /// Maximum number of crashed runs that are read from one frame.
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -13,9 +13,9 @@
 
 use super::{DispatchControl, MAINTENANCE_INTERVAL};
 use crate::entry::caller_api::{CallerAnswer, JobPhase};
-use crate::entry::job_homes::{ClaimState, JobClaim, PeerAnswer, PeerAnswers, RemoteWaiter};
-use crate::entry::job_order::{resubmit_delay, JobTimes};
-use crate::entry::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE, PULSE_INTERVAL};
+use crate::entry::homes::job_homes::{ClaimState, JobClaim, PeerAnswer, PeerAnswers, RemoteWaiter};
+use crate::entry::homes::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE, PULSE_INTERVAL};
+use crate::entry::order::job_order::{resubmit_delay, JobTimes};
 
 /// Minimum interval of the frames with queries, which bounds their number when many callers resubmit.
 const QUERY_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -11,8 +11,8 @@
 use vanillacleat_core::units::Millis;
 
 use super::{DispatchAction, DispatchControl};
-use crate::entry::job_order::queue_wait;
-use crate::entry::peer_registry::{FrameRefusal, SERVICES_MAX};
+use crate::entry::homes::peer_registry::{FrameRefusal, SERVICES_MAX};
+use crate::entry::order::job_order::queue_wait;
 use crate::log_fields::format_age;
 
 /// Interval at which the own load is computed for the peers.
--- a/crates/runs/src/entry/dispatch/performance.rs
+++ b/crates/runs/src/entry/dispatch/performance.rs
@@ -8,8 +8,8 @@
 use vanillacleat_core::run_frames::{OrderedRun, RunEnd, RunOutcome, RunProgress};
 
 use super::DispatchControl;
-use crate::entry::straggler_rule::RunForecast;
-use crate::entry::worker_speeds::RouteSummary;
+use crate::entry::workers::straggler_rule::RunForecast;
+use crate::entry::workers::worker_speeds::RouteSummary;
 
 /// Minimum time that a run must have taken so far for its progress to give a reliable forecast.
 const FORECAST_AGE_MIN: Duration = Duration::from_millis(40);
--- a/crates/runs/src/entry/dispatch/placing.rs
+++ b/crates/runs/src/entry/dispatch/placing.rs
@@ -10,12 +10,12 @@
 use vanillacleat_core::site_plan::RouteRule;
 
 use super::{DispatchAction, DispatchControl, Measurement};
-use crate::entry::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
-use crate::entry::open_job::{FormerRun, OpenJob};
-use crate::entry::quarantine::WorkerPool;
-use crate::entry::room_claim::RoomClaim;
-use crate::entry::worker_registry::CapacityRequest;
-use crate::entry::worker_speeds::TaskTiming;
+use crate::entry::jobs::open_job::{FormerRun, OpenJob};
+use crate::entry::order::job_order::{job_age, queue_wait, resubmit_delay, JobTimes};
+use crate::entry::order::room_claim::RoomClaim;
+use crate::entry::workers::quarantine::WorkerPool;
+use crate::entry::workers::worker_registry::CapacityRequest;
+use crate::entry::workers::worker_speeds::TaskTiming;
 
 /// Maximum number of requests that are remembered as unmet. They differ in service, demand and label, of which a site has few.
 const UNMET_REQUESTS_MAX: usize = 16;
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -11,8 +11,8 @@
 use vanillacleat_core::units::Millis;
 
 use super::{DispatchAction, DispatchControl};
-use crate::entry::worker_capacity::WorkerCapacity;
-use crate::entry::worker_registry::HelloOutcome;
+use crate::entry::workers::worker_capacity::WorkerCapacity;
+use crate::entry::workers::worker_registry::HelloOutcome;
 use crate::log_fields::{format_age, format_list};
 
 /// Maximum delay of the renewal of a session's lease. The delay lets the renewal share a frame with orders.
--- a/crates/runs/src/entry/job_homes.rs
+++ b/crates/runs/src/entry/homes/job_homes.rs
@@ -29,7 +29,7 @@
 
 /// What a peer has answered to a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum PeerAnswer {
+pub(in crate::entry) enum PeerAnswer {
     /// Nothing yet.
     Asked,
     /// It doesn't hold the job.
@@ -40,7 +40,7 @@
 
 /// A resubmitted job that may have its home at a peer.
 #[derive(Clone, Debug)]
-pub(super) struct JobClaim {
+pub(in crate::entry) struct JobClaim {
     /// The job.
     pub job: Arc<CallerJob>,
     /// The route that the job was submitted to.
@@ -63,7 +63,7 @@
 
 /// The answers of the peers that were asked for a job.
 #[derive(Clone, Debug, Default)]
-pub(super) struct PeerAnswers {
+pub(in crate::entry) struct PeerAnswers {
     answers: BTreeMap<SessionId, PeerAnswer>,
     homes: Vec<SessionId>,
     unanswered: usize,
@@ -112,7 +112,7 @@
 
 /// What to do with a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ClaimState {
+pub(in crate::entry) enum ClaimState {
     /// Wait for answers, for the end of the job at its home, or for the end of a lost home's leases.
     Wait,
     /// No peer holds the job.
@@ -123,7 +123,7 @@
 
 /// An entry that waits for a job that is held here, on behalf of its own callers.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RemoteWaiter {
+pub(in crate::entry) struct RemoteWaiter {
     /// The link to the entry.
     pub session: SessionId,
     /// The job.
@@ -138,7 +138,7 @@
 
 /// Holds the claims of this entry's callers and the remote waiters for its jobs.
 #[derive(Debug, Default)]
-pub(super) struct JobHomes {
+pub(in crate::entry) struct JobHomes {
     claims: BTreeMap<CallerJobId, JobClaim>,
     /// The claim that each of its waiters waits for.
     claimants: BTreeMap<ReplyId, CallerJobId>,
--- /dev/null
+++ b/crates/runs/src/entry/homes/mod.rs
@@ -0,0 +1,5 @@
+//! Other entries and the jobs that callers submit to several of them.
+
+pub(in crate::entry) mod job_homes;
+pub(in crate::entry) mod peer_registry;
+pub(in crate::entry) mod resume_barrier;
--- a/crates/runs/src/entry/resume_barrier.rs
+++ b/crates/runs/src/entry/homes/resume_barrier.rs
@@ -9,7 +9,7 @@
 use vanillacleat_control::ReplyId;
 use vanillacleat_core::units::MonoTime;
 
-use super::caller_api::CallerRequest;
+use crate::entry::caller_api::CallerRequest;
 
 /// Maximum time that an entry waits for the confirmation, which usually takes a few milliseconds.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/runs/src/entry/job_delay.rs
+++ b/crates/runs/src/entry/jobs/job_delay.rs
@@ -6,7 +6,7 @@
 use vanillacleat_core::run_frames::RunOutcome;
 use vanillacleat_core::units::MonoTime;
 
-use super::job_order::JobTimes;
+use crate::entry::order::job_order::JobTimes;
 
 /// When the tasks of a job were sent to workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/runs/src/entry/job_table.rs
+++ b/crates/runs/src/entry/jobs/job_table.rs
@@ -10,10 +10,10 @@
 use vanillacleat_core::run_frames::{OrderId, OrderedRun, RunEnd, RunOutcome};
 use vanillacleat_core::units::MonoTime;
 
-use super::caller_api::{CallerAnswer, JobPhase};
 use super::job_delay::JobDelay;
-use super::job_order::JobRank;
 use super::open_job::{FormerRun, OpenJob, SlotState};
+use crate::entry::caller_api::{CallerAnswer, JobPhase};
+use crate::entry::order::job_order::JobRank;
 
 /// Maximum time that the final phase of a job is kept for callers that resubmit or query it.
 const FINAL_PHASE_AGE_MAX: Duration = Duration::from_secs(120);
--- a/crates/runs/src/entry/open_job.rs
+++ b/crates/runs/src/entry/jobs/open_job.rs
@@ -10,9 +10,9 @@
 use vanillacleat_core::site_plan::RouteRule;
 use vanillacleat_core::units::MonoTime;
 
-use super::caller_api::JobPhase;
 use super::job_delay::SendRecord;
-use super::job_order::{JobRank, JobTimes};
+use crate::entry::caller_api::JobPhase;
+use crate::entry::order::job_order::{JobRank, JobTimes};
 
 /// The state of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/runs/src/entry/worker_capacity.rs
+++ b/crates/runs/src/entry/workers/worker_capacity.rs
@@ -10,10 +10,10 @@
 use vanillacleat_core::run_frames::{KnownSpeeds, RouteSpeed, RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::room_claim::RoomClaim;
 use super::worker_performance::WorkerPerformance;
-use super::worker_speeds::WorkerRatio;
+use super::worker_ratio::WorkerRatio;
 use crate::agent::is_plausible;
+use crate::entry::order::room_claim::RoomClaim;
 use crate::RemoteClock;
 
 /// Time for which no task is placed on a worker after its agent rejected a start.
--- a/crates/runs/src/entry/worker_registry.rs
+++ b/crates/runs/src/entry/workers/worker_registry.rs
@@ -10,13 +10,14 @@
 use vanillacleat_core::run_frames::{RunHello, RunReport};
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::job_order::core_share;
 use super::quarantine::{select_workers, Quarantine, WorkerPool};
-use super::room_claim::RoomClaim;
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
 use super::worker_performance::WorkerPerformance;
-use super::worker_speeds::{RouteSummary, SpeedTable, TaskTiming, WorkerRatio};
+use super::worker_ratio::WorkerRatio;
+use super::worker_speeds::{RouteSummary, SpeedTable, TaskTiming};
+use crate::entry::order::job_order::core_share;
+use crate::entry::order::room_claim::RoomClaim;
 use crate::LeaseTerms;
 
 /// Number of agents per zone that keep a copy of the routes for entries that can't reach the platform's store.
--- a/crates/runs/src/entry/worker_speeds.rs
+++ b/crates/runs/src/entry/workers/worker_speeds.rs
@@ -12,6 +12,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::worker_capacity::WorkerCapacity;
+use super::worker_ratio::WorkerRatio;
 use crate::RatioSketch;
 
 /// Maximum number of routes whose ratios are kept. Beyond it all are learned again.
@@ -61,17 +62,6 @@
     pub due_at: MonoTime,
 }
 
-/// A worker's run times on one route, relative to the callers' estimates.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct WorkerRatio {
-    /// The expected ratio.
-    pub expected: f64,
-    /// The ratio above which the worker is slower than itself or than its kind.
-    pub healthy: f64,
-    /// The quickness; lower is quicker. Workers that are about equally quick have the same.
-    pub class: u32,
-}
-
 /// How well a worker suits a task. The lowest is the best.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TimeFit {
