A start waits at a full worker only for a run that is about to end

Cause: a start at a full worker waited 25 ms and was then returned, which took 26 to 30 ms from jobs of 60 ms whose callers want them in about as much. Change: the agent knows each run's estimate, the route's usual ratio and the progress in the last list. A start waits while the runs expected to end within 10 ms of its arrival make room for it, after what earlier starts wait for. Otherwise it is returned at once.

--- a/crates/runs/src/agent/mod.rs
+++ b/crates/runs/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod crash_records;
+mod end_forecast;
 mod entry_selection;
 mod run_speeds;
 mod run_table;
--- a/crates/runs/src/agent/run_speeds.rs
+++ b/crates/runs/src/agent/run_speeds.rs
@@ -97,6 +97,11 @@
         self.learned.values()
     }
 
+    /// Returns the median ratio of run time to estimate on a route, if it was learned from enough runs.
+    pub fn typical_ratio(&self, route: &SmolStr) -> Option<f64> {
+        self.learned.get(route).map(|speed| f64::from(speed.typical_percent) / 100.0)
+    }
+
     /// Returns the number of speeds told by entries that were refused.
     pub fn refused(&self) -> u64 {
         self.refused
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 use vanillacleat_control::SessionId;
-use vanillacleat_core::caller_job::RunId;
+use vanillacleat_core::caller_job::{ResourceAmount, RunId};
 use vanillacleat_core::run_frames::{EndSign, KnownSpeeds, OrderFrame, OrderedRun, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_core::units::{Millis, MonoTime};
@@ -13,6 +13,7 @@
 use super::lease_polls::LOSSY_INTERVAL;
 use super::{RunnerAction, RunnerControl};
 use crate::agent::calls::{StartRejection, StartReply, StopReply, WorkerCall};
+use crate::agent::end_forecast::freed_by;
 use crate::agent::run_table::{RunOwner, RunRecord, RunState, StopCause};
 use crate::agent::worker_incarnation::WorkerIncarnation;
 use crate::log_fields::format_age;
@@ -22,9 +23,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time without an answer after which a start is abandoned.
 const START_TIMEOUT: Duration = Duration::from_millis(150);
-/// Maximum time that a start waits for free capacity at this worker. After that it is rejected, because its entry may
+/// Maximum time that a start waits for free capacity at this worker. After that it is returned, because its entry may
 /// find a worker that can start it sooner.
-const QUEUE_WAIT_MAX: Duration = Duration::from_millis(25);
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(10);
 
 impl RunnerControl {
     pub(super) fn handle_frame(&mut self, session: SessionId, frame: OrderFrame) {
@@ -161,7 +162,7 @@
     }
 
     /// Sends the queued starts that fit into the worker's free capacity, in the order in which they were received.
-    /// Rejects those that have waited too long, and all of them while no run may start.
+    /// Returns those that have waited too long or for which no room is expected in time, and all of them while no run may start.
     pub(super) fn start_queued(&mut self) {
         let mut queued: Vec<_> = self.runs.iter().filter(|(_, record)| record.state == RunState::Queued).collect();
         if queued.is_empty() {
@@ -169,31 +170,55 @@
         }
         queued.sort_by_key(|(_, record)| record.ordered_at);
         let queued: Vec<RunId> = queued.into_iter().map(|(run, _)| *run).collect();
-        queued.iter().for_each(|run| self.try_start(run));
+        let mut awaited = ResourceAmount::default();
+        for run in &queued {
+            self.try_start(run, &awaited);
+            if let Some(waiting) = self.runs.get(run).filter(|record| record.state == RunState::Queued) {
+                awaited += waiting.demand;
+            }
+        }
     }
 
-    fn try_start(&mut self, run: &RunId) {
-        let accepts_starts = self.accepts_starts();
-        let free_capacity = self
-            .incarnation
-            .as_ref()
-            .map(|incarnation| incarnation.capacity().saturating_sub(&self.runs.used_at_worker()))
-            .unwrap_or_default();
-        let lease_end = self.next_lease_end();
-        let now = self.now;
-        let Some(record) = self.runs.get_mut(run) else {
-            return;
-        };
-        if !accepts_starts {
+    /// Sends a queued start if it fits. `awaited` is what earlier starts wait for.
+    fn try_start(&mut self, run: &RunId, awaited: &ResourceAmount) {
+        if !self.accepts_starts() {
             return self.finish_run(run, RunOutcome::Closed, EndSign::NeverSent);
         }
+        let free_capacity = self.free_capacity();
+        let Some(record) = self.runs.get(run) else {
+            return;
+        };
         if !record.demand.fits(&free_capacity) {
-            if now.since(record.ordered_at) >= QUEUE_WAIT_MAX {
+            if !self.is_room_expected(record, &free_capacity, awaited) {
                 self.finish_run(run, RunOutcome::NoRoom, EndSign::NeverSent);
             }
             return;
         }
-        record.state = RunState::Starting { tries: 1, retry_at: now + self.polls.pacing.repeat_interval() };
+        self.send_start(run);
+    }
+
+    /// Returns what the runs leave of the worker's capacity. Queued starts don't count.
+    fn free_capacity(&self) -> ResourceAmount {
+        let capacity = self.incarnation.as_ref().map(WorkerIncarnation::capacity).unwrap_or_default();
+        capacity.saturating_sub(&self.runs.used_at_worker())
+    }
+
+    /// Returns whether a queued start is expected to find room before it has waited for [`QUEUE_WAIT_MAX`], after the starts that
+    /// wait for the resources in `awaited`.
+    fn is_room_expected(&self, record: &RunRecord, free_capacity: &ResourceAmount, awaited: &ResourceAmount) -> bool {
+        let wait_end = record.ordered_at + QUEUE_WAIT_MAX;
+        let expected = *free_capacity + freed_by(self.now, wait_end, &self.runs, &self.speeds);
+        self.now < wait_end && record.demand.fits(&expected.saturating_sub(awaited))
+    }
+
+    fn send_start(&mut self, run: &RunId) {
+        let lease_end = self.next_lease_end();
+        let now = self.now;
+        let repeat_interval = self.polls.pacing.repeat_interval();
+        let Some(record) = self.runs.get_mut(run) else {
+            return;
+        };
+        record.state = RunState::Starting { tries: 1, retry_at: now + repeat_interval };
         record.started_at = now;
         record.open_calls = 1;
         let payload = record.payload.clone();
--- a/crates/runs/tests/support/agent_bench.rs
+++ b/crates/runs/tests/support/agent_bench.rs
@@ -80,6 +80,8 @@
     pub crashes: Vec<(u64, TaskId)>,
     /// Run time of the runs that start from now on.
     pub run_time: Duration,
+    /// The callers' estimate that orders carry; zero for none.
+    pub estimate: Millis,
     /// The calls that were lost, for a test to execute later.
     pub lost_calls: Vec<SentCall>,
     /// Whether new calls wait for the test to take them. Otherwise the worker executes them after a millisecond.
@@ -146,6 +148,7 @@
             deadly_tasks: BTreeSet::new(),
             crashes: Vec::new(),
             run_time: RUN_TIME,
+            estimate: Millis(0),
             lost_calls: Vec::new(),
             holds_calls: false,
             answering: BTreeSet::from([SessionId(1), SessionId(2)]),
@@ -207,7 +210,7 @@
         let number = self.orders.values().map(|order| order.number).max().unwrap_or(0) + 1;
         let order = OrderId { entry: Incarnation(session), number };
         self.orders.insert(run, order);
-        let starts = vec![RunStart { run, order, demand: DEMAND, payload: 0, route: 0, estimate: Millis(0) }];
+        let starts = vec![RunStart { run, order, demand: DEMAND, payload: 0, route: 0, estimate: self.estimate }];
         let orders = RunOrders {
             leased_from: Millis(self.now),
             payloads: vec![SmolStr::new_static("text")],
