An agent tells all entries that its worker has become slow

Cause: each entry found out by runs of its own that a worker had become slow. Change: the agent, which sees the runs of all entries, compares them with what its worker usually takes on their routes and reports a slowness once six jobs show it, as an entry does. An entry believes it within bounds and compares it with that of the other workers as its own evidence. Without runs it is forgotten after 1.5 s, so that the worker gets a trial.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -106,6 +106,9 @@
     pub progress: Vec<RunProgress>,
     /// The worker's speeds that have changed noticeably since they were last reported.
     pub speeds: Vec<RouteSpeed>,
+    /// How much longer the latest runs of all entries take than runs at this worker usually do, in percent; zero unless several jobs show
+    /// that it has become slow.
+    pub slowness_percent: u32,
 }
 
 /// A run that a worker was told to start before it crashed.
--- a/crates/runs/src/agent/end_forecast.rs
+++ b/crates/runs/src/agent/end_forecast.rs
@@ -29,11 +29,9 @@
 
 /// Returns the run time that the last list's progress or else the caller's estimate lets expect.
 fn expected_run_time(record: &RunRecord, speeds: &RunSpeeds) -> Option<Duration> {
-    let RunState::Running { percent, listed_at } = record.state else {
-        return None;
-    };
+    let (percent, elapsed) = record.progress()?;
     if percent >= PROGRESS_MIN_PERCENT {
-        return Some(listed_at.since(record.started_at).mul_f64(100.0 / f64::from(percent)));
+        return Some(elapsed.mul_f64(100.0 / f64::from(percent)));
     }
     let ratio = speeds.typical_ratio(&record.route).unwrap_or(1.0);
     (!record.estimate.is_zero()).then(|| record.estimate.mul_f64(ratio))
--- a/crates/runs/src/agent/run_table.rs
+++ b/crates/runs/src/agent/run_table.rs
@@ -222,12 +222,9 @@
     pub fn progress_of(&self, session: SessionId) -> Vec<RunProgress> {
         let records = self.runs.values().flat_map(|record| record.owners.iter().map(move |owner| (owner, record)));
         let owned = records.filter(|(owner, _)| owner.session == Some(session));
-        let progress = owned.filter_map(|(owner, record)| match record.state {
-            RunState::Running { percent, listed_at } => {
-                let elapsed = Millis::from_duration(listed_at.since(record.started_at));
-                Some(RunProgress { run: owner.run, order: owner.order, percent, elapsed })
-            }
-            RunState::Queued | RunState::Starting { .. } | RunState::Stopping { .. } => None,
+        let progress = owned.filter_map(|(owner, record)| {
+            let (percent, elapsed) = record.progress()?;
+            Some(RunProgress { run: owner.run, order: owner.order, percent, elapsed: Millis::from_duration(elapsed) })
         });
         progress.collect()
     }
@@ -315,6 +312,14 @@
         confirmed_at.zip(seen_at).is_some_and(|(confirmed_at, seen_at)| seen_at >= confirmed_at + START_SURVIVAL_TIME)
     }
 
+    /// Returns the share of the work that was done when the worker last listed the run, in percent, and the time that it had run by then.
+    pub fn progress(&self) -> Option<(u8, Duration)> {
+        let RunState::Running { percent, listed_at } = self.state else {
+            return None;
+        };
+        Some((percent, listed_at.since(self.started_at)))
+    }
+
     /// Returns the time since [`Self::started_at`].
     pub fn elapsed_since_start(&self, now: MonoTime) -> Duration {
         now.since(self.started_at)
--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod reporting;
 mod silence;
+mod slowness;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -30,7 +31,7 @@
 use super::run_table::{RunState, RunTable, StopCause};
 use super::session_lease::SessionLease;
 use super::worker_incarnation::{WorkerIncarnation, WorkerNotice};
-use crate::LeaseTerms;
+use crate::{LeaseTerms, WorkerPerformance};
 
 /// Increment of a fencing token that the worker rejected as too low. Tokens are taken from the wall clock in
 /// milliseconds, which may have been set back since an earlier agent of this host took its token.
@@ -160,6 +161,10 @@
     crash_records: CrashRecords,
     /// The speed of the worker, learned from the runs of all entries.
     speeds: RunSpeeds,
+    /// What the latest runs show of the worker, relative to its usual speed.
+    performance: WorkerPerformance,
+    /// Whether the log says that the worker has become slow.
+    is_slow: bool,
     sessions: BTreeMap<SessionId, SessionLease>,
     /// Number of the last session that was introduced to an entry.
     last_session_number: u64,
@@ -191,6 +196,8 @@
             runs: RunTable::default(),
             crash_records: CrashRecords::default(),
             speeds: RunSpeeds::default(),
+            performance: WorkerPerformance::default(),
+            is_slow: false,
             sessions: BTreeMap::new(),
             last_session_number: 0,
             next_selection_at: MonoTime::ZERO,
@@ -276,6 +283,7 @@
                 "typical_percent": speed.typical_percent, "high_percent": speed.high_percent, "runs": speed.runs,
             }))).collect::<serde_json::Map<_, _>>(),
             "speeds_refused": self.speeds.refused(),
+            "slowness_percent": self.slowness_percent(),
         })
     }
 
--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -18,6 +18,7 @@
 use crate::agent::run_table::{RunRecord, RunState};
 use crate::agent::worker_incarnation::{WorkerIncarnation, WorkerNotice};
 use crate::log_fields::format_age;
+use crate::WorkerPerformance;
 
 /// An incarnation of the worker that the agent has lost.
 #[derive(Clone, Debug)]
@@ -128,6 +129,7 @@
         if self.speeds.set_kind(notice.labels.first()) {
             self.sessions.values_mut().for_each(|lease| lease.reported_speeds.clear());
         }
+        self.performance = WorkerPerformance::default();
         self.incarnation = Some(WorkerIncarnation::new(notice));
         self.successor = None;
         self.polls = PollState::default();
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -207,6 +207,7 @@
                 record.state = RunState::Running { percent: task.percent, listed_at };
             }
         }
+        self.record_run_progress();
         if unknown_runs.is_empty() {
             if let Some(incarnation) = self.incarnation.as_mut().filter(|incarnation| !incarnation.is_settled) {
                 incarnation.is_settled = true;
--- a/crates/runs/src/agent/runner/orders.rs
+++ b/crates/runs/src/agent/runner/orders.rs
@@ -25,7 +25,7 @@
 const START_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time that a start waits for free capacity at this worker. After that it is returned, because its entry may
 /// find a worker that can start it sooner.
-const QUEUE_WAIT_MAX: Duration = Duration::from_millis(10);
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(25);
 
 impl RunnerControl {
     pub(super) fn handle_frame(&mut self, session: SessionId, frame: OrderFrame) {
@@ -150,7 +150,7 @@
     }
 
     /// Returns whether the worker started recently and is still slow, which says nothing of its usual speed.
-    fn is_worker_cold(&self) -> bool {
+    pub(super) fn is_worker_cold(&self) -> bool {
         self.incarnation.as_ref().is_some_and(|incarnation| incarnation.notice.cold > Millis(0))
     }
 
@@ -417,6 +417,7 @@
         };
         let ran = Millis::from_duration(record.elapsed_since_start(self.now));
         if outcome == RunOutcome::Done && !record.route.is_empty() && !self.is_worker_cold() {
+            self.record_run_time(&record, ran.to_duration());
             self.speeds.record(&record.route, record.estimate, ran.to_duration());
         }
         let evidence = self.evidence(if record.state == RunState::Queued { EndSign::NeverSent } else { sign });
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -138,6 +138,8 @@
         let (now, entries) = (self.now, self.sessions.len() as u32);
         let capacity = worker_info.as_ref().map_or(0, |info| info.capacity.millicores);
         let capacity_interval = CAPACITY_INTERVAL_PER_SESSION * entries;
+        let slowness_percent = self.slowness_percent();
+        let is_slow = slowness_percent > 0;
         let (used, used_by_session) = (self.runs.used(), self.runs.used_by_owner());
         for (session, lease) in &mut self.sessions {
             if lease.reported_crash < self.crash_records.last_number() {
@@ -153,7 +155,8 @@
             let is_ask_due = age(lease.asked_at) >= ask_interval;
             let is_capacity_due = age(lease.reported_at) >= capacity_interval
                 && is_significant(capacity, lease.reported_used_by_others.millicores, used_by_others.millicores, used.millicores);
-            let has_news = !lease.ends.is_empty() || lease.reported_worker != worker_info || lease.reported_closed != is_closed;
+            let is_description_new = lease.reported_worker != worker_info || lease.reported_slow != is_slow;
+            let has_news = !lease.ends.is_empty() || is_description_new || lease.reported_closed != is_closed;
             if !is_ask_due && !is_capacity_due && !has_news {
                 continue;
             }
@@ -171,9 +174,11 @@
                 plan_version: self.plan.version().0,
                 progress: if used_by_entry.is_some() { self.runs.progress_of(*session) } else { Vec::new() },
                 speeds: self.speeds.news(&mut lease.reported_speeds),
+                slowness_percent,
             };
             lease.reported_worker.clone_from(&worker_info);
             lease.reported_closed = is_closed;
+            lease.reported_slow = is_slow;
             lease.reported_used_by_others = used_by_others;
             self.actions.push(RunnerAction::Send { session: *session, frame: RunFrame::Report(report) });
         }
--- a/crates/runs/src/agent/session_lease.rs
+++ b/crates/runs/src/agent/session_lease.rs
@@ -26,6 +26,8 @@
     pub reported_worker: Option<WorkerInfo>,
     /// Whether the last report stated that the agent accepts no starts.
     pub reported_closed: bool,
+    /// Whether the last report stated that the worker has become slow.
+    pub reported_slow: bool,
     /// What the runs of other entries used according to the last report.
     pub reported_used_by_others: ResourceAmount,
     /// The worker's speeds as last reported, by route.
@@ -54,6 +56,7 @@
             ends: Vec::new(),
             reported_worker: None,
             reported_closed: true,
+            reported_slow: false,
             reported_used_by_others: ResourceAmount::default(),
             reported_speeds: BTreeMap::new(),
             reported_crash: 0,
--- a/crates/runs/src/entry/dispatch/performance.rs
+++ b/crates/runs/src/entry/dispatch/performance.rs
@@ -8,8 +8,8 @@
 use vanillacleat_core::run_frames::{OrderedRun, RunEnd, RunOutcome, RunProgress};
 
 use super::DispatchControl;
-use crate::entry::workers::straggler_rule::RunForecast;
 use crate::entry::workers::worker_speeds::RouteSummary;
+use crate::RunForecast;
 
 /// Minimum time that a run must have taken so far for its progress to give a reliable forecast.
 const FORECAST_AGE_MIN: Duration = Duration::from_millis(40);
@@ -111,7 +111,7 @@
     }
 
     fn relocate_straggler(&mut self, agent: &AgentId, run: &OrderedRun, forecast: &RunForecast) {
-        let slowness = self.worker_registry.get(agent).and_then(|worker| worker.performance.slowness(self.now));
+        let slowness = self.worker_registry.get(agent).and_then(|worker| worker.slowness(self.now));
         let Some(slowness) = slowness.filter(|_| self.slow_agents.contains(agent)) else {
             return;
         };
--- a/crates/runs/src/entry/workers/straggler_rule.rs
+++ b/crates/runs/src/entry/workers/straggler_rule.rs
@@ -4,12 +4,8 @@
 //! times slower than the others. A run on such a worker is relocated if the rest of its work would take longer than all
 //! of it on a healthy worker. If all workers are equally loaded, none of them is slow.
 
-use std::time::Duration;
-
 /// Multiple of the median slowness from which a worker counts as slow.
 const SLOW_FACTOR: f64 = 2.0;
-/// Minimum time that a restart must save, to make up for the stop and the second start.
-const RESTART_MARGIN: Duration = Duration::from_millis(30);
 
 /// Returns the slowness from which a worker counts as slow, given the slowness of all workers. A worker of unknown
 /// slowness counts as healthy. Because the threshold is a multiple of the median, fewer than half of the workers can be
@@ -20,35 +16,3 @@
     let median = if slownesses.is_empty() { 1.0 } else { *slownesses.select_nth_unstable_by(middle, f64::total_cmp).1 };
     median.max(1.0) * SLOW_FACTOR
 }
-
-/// The run time that is extrapolated from a run's progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RunForecast {
-    /// The total run time at the worker's speed.
-    pub total: Duration,
-    /// The remaining run time at the worker's speed.
-    pub remaining: Duration,
-}
-
-impl RunForecast {
-    /// Returns the forecast for a run that has done `percent` of its work in `elapsed`.
-    pub fn new(elapsed: Duration, percent: u8) -> Self {
-        // The percentage is rounded down, so the expected value is half a point higher.
-        let done = (f64::from(percent) + 0.5).min(100.0) / 100.0;
-        let total = elapsed.div_f64(done);
-        Self { total, remaining: total.saturating_sub(elapsed) }
-    }
-
-    /// Returns whether the run ends more than `RESTART_MARGIN` after a worker that leaves in `left` has left. Such a run has to start
-    /// again elsewhere in any case, and sooner if it is stopped now.
-    pub fn ends_after(&self, left: Duration) -> bool {
-        self.remaining > left + RESTART_MARGIN
-    }
-
-    /// Returns whether a healthy worker would end the run sooner, by more than `RESTART_MARGIN`, if it started the run
-    /// from the beginning. `slowness` is the slowness of the worker that runs it now.
-    pub fn should_relocate(&self, slowness: f64) -> bool {
-        let elsewhere = self.total.div_f64(slowness.max(1.0));
-        self.remaining > elsewhere + RESTART_MARGIN
-    }
-}
--- a/crates/runs/src/entry/workers/worker_capacity.rs
+++ b/crates/runs/src/entry/workers/worker_capacity.rs
@@ -10,11 +10,10 @@
 use vanillacleat_core::run_frames::{KnownSpeeds, RouteSpeed, RunHello, RunReport, SessionOrder, WorkerInfo};
 use vanillacleat_core::units::{Millis, MonoTime};
 
-use super::worker_performance::WorkerPerformance;
 use super::worker_ratio::WorkerRatio;
 use crate::agent::is_plausible;
 use crate::entry::order::room_claim::RoomClaim;
-use crate::RemoteClock;
+use crate::{RemoteClock, WorkerPerformance};
 
 /// Time for which no task is placed on a worker after its agent rejected a start.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(30);
@@ -31,6 +30,11 @@
 /// Age of the last report up to which an agent without runs of this entry gets starts. Such agents report once a second.
 const IDLE_REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
 
+/// Lowest and highest slowness that is believed, in percent.
+const SLOWNESS_MIN_PERCENT: u32 = 100;
+/// See [`SLOWNESS_MIN_PERCENT`].
+const SLOWNESS_MAX_PERCENT: u32 = 100_000;
+
 /// Part of a worker's processor capacity that is left to the entries of its own zone, in percent.
 const LOCAL_ZONE_PERCENT: u64 = 20;
 
@@ -77,6 +81,8 @@
     pub lost_at: Option<MonoTime>,
     /// Whether its runs were recorded as lost since the last report.
     pub is_expired: bool,
+    /// The slowness that the last report states, if it is one that can be true.
+    reported_slowness: Option<f64>,
     /// The observed speed and failures.
     pub performance: WorkerPerformance,
     /// The kind that the worker had in an earlier session, until it is reported again.
@@ -115,6 +121,7 @@
             last_sent_at: Millis(0),
             lost_at: None,
             is_expired: false,
+            reported_slowness: None,
             performance: WorkerPerformance::default(),
             former_kind: None,
             speeds: BTreeMap::new(),
@@ -135,6 +142,18 @@
         hello.order.process_start > self.latest_start || (self.session.is_none() && self.runs == 0)
     }
 
+    /// Returns the factor by which runs at the worker take longer than expected, as its agent has seen in the runs of all entries or this
+    /// entry in its own. Returns `None` if neither shows any.
+    pub fn slowness(&self, now: MonoTime) -> Option<f64> {
+        self.reported_slowness.or_else(|| self.performance.slowness(now))
+    }
+
+    /// Returns whether the worker is slower by `threshold` or more, and more than a few jobs show it.
+    pub(super) fn exceeds_slowness(&self, now: MonoTime, threshold: f64) -> bool {
+        let is_slow = self.slowness(now).is_some_and(|slowness| slowness >= threshold);
+        is_slow && (self.reported_slowness.is_some() || self.performance.has_slow_jobs(now, threshold))
+    }
+
     /// Updates the state from a report.
     pub(super) fn record_report(&mut self, now: MonoTime, report: &RunReport) {
         self.last_received_at = now;
@@ -144,6 +163,8 @@
         self.last_sent_at = report.sent_at;
         self.entries = report.entries.max(1);
         self.is_closed = report.is_closed;
+        let is_plausible = (SLOWNESS_MIN_PERCENT..=SLOWNESS_MAX_PERCENT).contains(&report.slowness_percent);
+        self.reported_slowness = is_plausible.then(|| f64::from(report.slowness_percent) / 100.0);
         self.used_by_others = report.used.saturating_sub(&report.used_by_entry);
         if let Some(info) = &report.worker {
             self.cold_until = now + info.cold.to_duration().min(COLD_MAX);
--- a/crates/runs/src/entry/workers/worker_registry.rs
+++ b/crates/runs/src/entry/workers/worker_registry.rs
@@ -13,12 +13,11 @@
 use super::quarantine::{select_workers, Quarantine, WorkerPool};
 use super::straggler_rule::slowness_threshold;
 use super::worker_capacity::WorkerCapacity;
-use super::worker_performance::WorkerPerformance;
 use super::worker_ratio::WorkerRatio;
 use super::worker_speeds::{RouteSummary, SpeedTable, TaskTiming};
 use crate::entry::order::job_order::core_share;
 use crate::entry::order::room_claim::RoomClaim;
-use crate::LeaseTerms;
+use crate::{LeaseTerms, WorkerPerformance};
 
 /// Number of agents per zone that keep a copy of the routes for entries that can't reach the platform's store.
 const ROUTE_COPIES_PER_ZONE: usize = 2;
@@ -169,11 +168,11 @@
 
     /// Recomputes the slowness threshold from all workers. Returns the agents of the workers that are slow.
     pub fn update_slow_workers(&mut self, now: MonoTime) -> Vec<AgentId> {
-        let slownesses: Vec<Option<f64>> = self.workers.values().map(|worker| worker.performance.slowness(now)).collect();
-        let threshold = slowness_threshold(slownesses.iter().copied());
+        let slownesses: Vec<Option<f64>> = self.workers.values().map(|worker| worker.slowness(now)).collect();
+        let threshold = slowness_threshold(slownesses.into_iter());
         let mut slow = Vec::new();
-        for (worker, slowness) in self.workers.values_mut().zip(slownesses) {
-            worker.is_slow = slowness.is_some_and(|slowness| slowness >= threshold) && worker.performance.has_slow_jobs(now, threshold);
+        for worker in self.workers.values_mut() {
+            worker.is_slow = worker.exceeds_slowness(now, threshold);
             if worker.is_slow {
                 slow.push(worker.agent.clone());
             }
@@ -314,7 +313,9 @@
         last_agent: Option<&AgentId>,
     ) -> Option<&AgentId> {
         let is_healthy = |worker: &&WorkerCapacity| !worker.is_slow && !worker.performance.is_failing(now);
-        let usable = self.workers.values().filter(|worker| self.is_usable(now, worker));
+        // Most workers are full while many tasks wait, so this check comes first.
+        let has_room = |worker: &&WorkerCapacity| request.demand.fits(&worker.capacity_for(request.claim, request.demand));
+        let usable = self.workers.values().filter(has_room).filter(|worker| self.is_usable(now, worker));
         let is_in_pool = |worker: &&WorkerCapacity| self.quarantine.contains(request.pool, request.service, &worker.agent);
         let candidates = usable.filter(|worker| is_candidate(zones_out, request, worker)).filter(is_healthy).filter(is_in_pool);
         let best = candidates.min_by_key(|worker| {
@@ -399,7 +400,6 @@
         return false;
     };
     info.service == *request.service
-        && request.demand.fits(&worker.capacity_for(request.claim, request.demand))
         && !zones_out.contains(&worker.zone)
         && request.required_label.is_none_or(|label| has_label(worker, label))
         && !request.excluded.contains(&worker.agent)
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -14,7 +14,11 @@
 mod log_fields;
 mod ratio_sketch;
 mod remote_clock;
+mod run_forecast;
+mod worker_performance;
 
 pub use lease_terms::LeaseTerms;
 pub use ratio_sketch::RatioSketch;
 pub use remote_clock::RemoteClock;
+pub use run_forecast::RunForecast;
+pub use worker_performance::WorkerPerformance;
--- a/crates/runs/tests/slow_workers.rs
+++ b/crates/runs/tests/slow_workers.rs
@@ -7,7 +7,8 @@
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::{CallerJobId, TaskId};
 use vanillacleat_core::units::MonoTime;
-use vanillacleat_runs::entry::{slowness_threshold, RouteTimes, RunForecast, WorkerPerformance};
+use vanillacleat_runs::entry::{slowness_threshold, RouteTimes};
+use vanillacleat_runs::{RunForecast, WorkerPerformance};
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
