No part of a worker is left to the entries of its own zone

Cause: an entry preferred a worker of its own zone to a fifth of the room of one in another zone, whether the other zone needed it or not. Change: the rank and its constant are removed. Among equal workers one of the own zone is still preferred. Tests of placement, placement_choice, uneven_choice, uneven_workers, late_jobs and golden_runs pass unchanged.

--- a/crates/runs/src/entry/workers/worker_capacity.rs
+++ b/crates/runs/src/entry/workers/worker_capacity.rs
@@ -35,9 +35,6 @@
 /// See [`SLOWNESS_MIN_PERCENT`].
 const SLOWNESS_MAX_PERCENT: u32 = 100_000;
 
-/// Part of a worker's processor capacity that is left to the entries of its own zone, in percent.
-const LOCAL_ZONE_PERCENT: u64 = 20;
-
 /// Holds the state of one worker and the capacity that it has for this entry.
 #[derive(Clone, Debug)]
 pub struct WorkerCapacity {
@@ -247,28 +244,15 @@
         capacity.saturating_sub(&(self.used_by_others + self.reserved))
     }
 
-    /// Returns the part of the free capacity that entries of other zones may use without contention. The rest is left
-    /// to the entries of the worker's own zone.
-    pub fn capacity_for_other_zones(&self) -> ResourceAmount {
-        self.free_capacity_without(self.share_of_millicores(LOCAL_ZONE_PERCENT))
-    }
-
     /// Returns the part of the free capacity that a task with this claim may use. No more is left to others than the task leaves of an
     /// idle worker: one that needs nearly the whole of it could never start otherwise.
     pub fn capacity_for(&self, claim: RoomClaim, demand: &ResourceAmount) -> ResourceAmount {
-        let beside = self.millicores().saturating_sub(demand.millicores);
-        self.free_capacity_without(self.share_of_millicores(claim.reserved_percent()).min(beside))
-    }
-
-    fn free_capacity_without(&self, millicores: u64) -> ResourceAmount {
+        let capacity = self.millicores();
+        let reserved = capacity.saturating_mul(claim.reserved_percent()) / 100;
+        let millicores = reserved.min(capacity.saturating_sub(demand.millicores));
         self.free_capacity().saturating_sub(&ResourceAmount { millicores, ..ResourceAmount::default() })
     }
 
-    /// Returns `percent` of the worker's processor capacity.
-    fn share_of_millicores(&self, percent: u64) -> u64 {
-        self.millicores().saturating_mul(percent) / 100
-    }
-
     /// Returns the worker's processor capacity. It is zero until the agent has reported its worker.
     fn millicores(&self) -> u64 {
         self.info.as_ref().map_or(0, |info| info.capacity.millicores)
--- a/crates/runs/src/entry/workers/worker_registry.rs
+++ b/crates/runs/src/entry/workers/worker_registry.rs
@@ -295,15 +295,13 @@
     ///
     /// 1. Workers in the preferred rack, if the task has one.
     /// 2. Workers on which the task ends in time.
-    /// 3. Workers of this entry's zone, and workers of other zones on which the task fits without the part that is left
-    ///    to the entries of their own zone. That part is used only if there is no other free capacity.
-    /// 4. Fast workers, or slow ones if the task has time and little is left of the fast ones. Among workers that are about
+    /// 3. Fast workers, or slow ones if the task has time and little is left of the fast ones. Among workers that are about
     ///    equally fast, what follows decides.
-    /// 5. The worker that the last task of the same job went to. A job that uses few workers is affected by few
+    /// 4. The worker that the last task of the same job went to. A job that uses few workers is affected by few
     ///    unhealthy ones.
-    /// 6. Workers of this entry's zone. Entries don't see each other's starts. With this preference, entries of
+    /// 5. Workers of this entry's zone. Entries don't see each other's starts. With this preference, entries of
     ///    different zones choose different workers.
-    /// 7. The worker with the most free processor capacity.
+    /// 6. The worker with the most free processor capacity.
     pub fn choose_worker(
         &self,
         now: MonoTime,
@@ -320,11 +318,10 @@
         let candidates = usable.filter(|worker| is_candidate(zones_out, request, worker)).filter(is_healthy).filter(is_in_pool);
         let best = candidates.min_by_key(|worker| {
             let is_far = request.preferred_rack.is_some_and(|rack| !has_label(worker, rack));
-            let is_contended = worker.zone != *zone && !request.demand.fits(&worker.capacity_for_other_zones());
             let millicores = worker.free_capacity().millicores;
             let fit = request.timing.as_ref().map(|timing| self.speed_table.fit(now, timing, worker)).unwrap_or_default();
             let is_other = last_agent != Some(&worker.agent);
-            (is_far, fit.lateness, is_contended, fit.preference, is_other, worker.zone != *zone, u64::MAX - millicores)
+            (is_far, fit.lateness, fit.preference, is_other, worker.zone != *zone, u64::MAX - millicores)
         });
         best.map(|worker| &worker.agent)
     }
