--- a/crates/runs/src/agent/end_forecast.rs
+++ b/crates/runs/src/agent/end_forecast.rs
@@ -22,9 +22,8 @@
 /// Returns how much longer a run is expected to take, or `None` if nothing is known of its run time.
 fn expected_time_left(now: MonoTime, record: &RunRecord, speeds: &RunSpeeds) -> Option<Duration> {
     let total = expected_run_time(record, speeds)?;
-    let elapsed = record.elapsed_since_start(now);
-    // A run that has taken longer than expected is one of those that take several times as long.
-    Some(if elapsed < total { total - elapsed } else { elapsed - total })
+    // The longer a run has exceeded what was expected, the longer it is expected to go on.
+    Some(record.elapsed_since_start(now).abs_diff(total))
 }
 
 /// Returns the run time that the last list's progress or else the caller's estimate lets expect.
