Run times don't include the time for which the host was suspended

Cause: the agent counts run times on a clock that goes on while the host is suspended, and the worker's runs don't. After a suspension that the leases survive, all runs seemed to take several times as long, and the worker counted as slow: entries would move its runs elsewhere. Entries judged by the same run times before, each by its own runs; since the agent reports slowness, all would at once. Change: the start of a run at the worker moves by the time of the suspension. Test: worker_slowness::suspended_worker_is_not_slow failed before (slowness 1089%); silent_worker, worker_loss, lease_chain, run_invariants and golden_runs pass.

--- a/crates/runs/src/agent/runner.rs
+++ b/crates/runs/src/agent/runner.rs
@@ -317,8 +317,11 @@
         }
     }
 
-    /// Records that the worker's clock stood still, so that the leases that it was granted last that much longer.
+    /// Records that the worker's clock stood still, so that the leases that it was granted last that much longer. Its runs stood still as
+    /// well, and their run times don't include that time.
     fn record_suspension(&mut self, duration: Duration) {
+        let running = self.runs.iter_mut().filter(|(_, record)| matches!(record.state, RunState::Running { .. }));
+        running.for_each(|(_, record)| record.started_at = record.started_at + duration);
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.clock.record_suspension(duration);
         }
--- a/crates/runs/tests/worker_slowness.rs
+++ b/crates/runs/tests/worker_slowness.rs
@@ -125,3 +125,18 @@
     let registry = registry_with_report(slowness_percent);
     assert_eq!(choose(&registry), Some(chosen.parse().expect("a valid name")));
 }
+
+// Guards against a worker whose host was suspended counting as slow, so that its runs are started again elsewhere.
+#[test]
+fn suspended_worker_is_not_slow() {
+    let mut bench = bench_with_usual_runs();
+    for job in 21..29 {
+        bench.order_start(1, RunId { task: TaskId { job: CallerJobId(job), step: 0, index: 0 }, run: 1 });
+    }
+    bench.advance(bench.now() + 30);
+    bench.advance_suspended(bench.now() + 300);
+    for _ in 0..20 {
+        bench.advance(bench.now() + 10);
+        assert_eq!(reported_slowness(&bench), Some(0));
+    }
+}
