One minimum age of a forecast, and one conversion of a reported speed

Found in the last reread: the agent's slowness had a constant of its own for the time from which a run's progress is reliable, as the entry had, and the median ratio of a reported speed was computed in three places. RunForecast::AGE_MIN and RouteSpeed::typical_ratio serve them now.

--- a/crates/core/src/run_frames.rs
+++ b/crates/core/src/run_frames.rs
@@ -148,6 +148,13 @@
     pub runs: u32,
 }
 
+impl RouteSpeed {
+    /// Returns the median of run time by estimate.
+    pub fn typical_ratio(&self) -> f64 {
+        f64::from(self.typical_percent) / 100.0
+    }
+}
+
 /// The speeds that an entry knows of an agent's worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownSpeeds {
--- a/crates/runs/src/agent/run_speeds.rs
+++ b/crates/runs/src/agent/run_speeds.rs
@@ -76,7 +76,7 @@
             } else if !self.sketches.contains_key(&speed.route) {
                 let mut sketch = RatioSketch::default();
                 let runs = speed.runs.min(TOLD_RUNS_MAX);
-                sketch.record_many(f64::from(speed.typical_percent) / 100.0, runs - runs / 4);
+                sketch.record_many(speed.typical_ratio(), runs - runs / 4);
                 sketch.record_many(f64::from(speed.high_percent) / 100.0, runs / 4);
                 self.sketches.insert(speed.route.clone(), sketch);
                 self.update(&speed.route);
@@ -99,7 +99,7 @@
 
     /// Returns the median ratio of run time to estimate on a route, if it was learned from enough runs.
     pub fn typical_ratio(&self, route: &SmolStr) -> Option<f64> {
-        self.learned.get(route).map(|speed| f64::from(speed.typical_percent) / 100.0)
+        self.learned.get(route).map(RouteSpeed::typical_ratio)
     }
 
     /// Returns the number of speeds told by entries that were refused.
--- a/crates/runs/src/agent/runner/slowness.rs
+++ b/crates/runs/src/agent/runner/slowness.rs
@@ -8,8 +8,6 @@
 
 /// Factor to its usual run times from which the worker may be slow. Entries compare workers with each other.
 const SLOW_FACTOR: f64 = 2.0;
-/// Minimum time that a run must have taken so far for its progress to show the worker's speed.
-const PROGRESS_AGE_MIN: Duration = Duration::from_millis(40);
 
 impl RunnerControl {
     /// Records the run time of a run that is done.
@@ -35,7 +33,7 @@
     }
 
     fn progress_ratio(&self, record: &RunRecord) -> Option<f64> {
-        let (percent, elapsed) = record.progress().filter(|(_, elapsed)| *elapsed >= PROGRESS_AGE_MIN)?;
+        let (percent, elapsed) = record.progress().filter(|(_, elapsed)| *elapsed >= RunForecast::AGE_MIN)?;
         let total = RunForecast::new(elapsed, percent).total;
         Some(total.as_secs_f64() / self.usual_run_time(record)?.as_secs_f64())
     }
--- a/crates/runs/src/entry/dispatch/performance.rs
+++ b/crates/runs/src/entry/dispatch/performance.rs
@@ -11,9 +11,6 @@
 use crate::entry::workers::worker_speeds::RouteSummary;
 use crate::RunForecast;
 
-/// Minimum time that a run must have taken so far for its progress to give a reliable forecast.
-const FORECAST_AGE_MIN: Duration = Duration::from_millis(40);
-
 impl DispatchControl {
     /// Updates the expected speeds of the workers and logs each noticeable change.
     pub(super) fn update_speeds(&mut self) {
@@ -69,7 +66,7 @@
     /// Updates the performance record of a worker from runs in progress. Relocates each run that another worker would end
     /// sooner even if it started from the beginning, because this one is slow or is about to leave.
     pub(super) fn record_progress(&mut self, agent: &AgentId, progress: &[RunProgress]) {
-        for run_progress in progress.iter().filter(|run_progress| run_progress.elapsed.to_duration() >= FORECAST_AGE_MIN) {
+        for run_progress in progress.iter().filter(|run_progress| run_progress.elapsed.to_duration() >= RunForecast::AGE_MIN) {
             let run = OrderedRun { run: run_progress.run, order: run_progress.order };
             if !self.job_table.is_sent(agent, &run) {
                 continue;
--- a/crates/runs/src/entry/workers/worker_speeds.rs
+++ b/crates/runs/src/entry/workers/worker_speeds.rs
@@ -257,7 +257,7 @@
     let mut by_kind: BTreeMap<Option<SmolStr>, Vec<f64>> = BTreeMap::new();
     for worker in workers.values() {
         if let Some(speed) = worker.speeds.get(route) {
-            by_kind.entry(worker.kind().cloned()).or_default().push(typical_ratio(speed));
+            by_kind.entry(worker.kind().cloned()).or_default().push(speed.typical_ratio());
         }
     }
     by_kind.into_iter().filter_map(|(kind, mut ratios)| Some((kind, median(&mut ratios)?))).collect()
@@ -292,7 +292,7 @@
     for worker in workers.values_mut() {
         let known_of_kind = kinds.get(&worker.kind().cloned()).copied();
         let of_kind = known_of_kind.filter(|_| !are_kinds_even).unwrap_or(typical);
-        let own = worker.speeds.get(route).filter(|speed| speed.runs >= OWN_RUNS_MIN).map(typical_ratio);
+        let own = worker.speeds.get(route).filter(|speed| speed.runs >= OWN_RUNS_MIN).map(RouteSpeed::typical_ratio);
         let expected = own.filter(|own| *own > of_kind * OWN_FACTOR || *own < of_kind / OWN_FACTOR).unwrap_or(of_kind);
         let healthy = match known_of_kind {
             // A worker of a kind that is unknown may be slower than others and healthy.
@@ -320,10 +320,6 @@
     })
 }
 
-fn typical_ratio(speed: &RouteSpeed) -> f64 {
-    f64::from(speed.typical_percent) / 100.0
-}
-
 fn median(values: &mut [f64]) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
--- a/crates/runs/src/run_forecast.rs
+++ b/crates/runs/src/run_forecast.rs
@@ -15,6 +15,9 @@
 }
 
 impl RunForecast {
+    /// Minimum time that a run must have taken so far for its progress to give a reliable forecast.
+    pub const AGE_MIN: Duration = Duration::from_millis(40);
+
     /// Returns the forecast for a run that has done `percent` of its work in `elapsed`.
     pub fn new(elapsed: Duration, percent: u8) -> Self {
         // The percentage is rounded down, so the expected value is half a point higher.
