Review: choose ports below those of outgoing connections

Cause: under six scripts at once, 3 of 50 exploratory runs could not bind a port that had been free when it was chosen. Change: stand-ins take ports from 10,000 to 29,999.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,6 +5,7 @@
 import gc
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -33,11 +34,9 @@
 
 
 def free_port(ips, wanted=None):
-    """Returns a port that is free at all these addresses."""
+    """Returns a port that is free at all these addresses. Ports of outgoing connections lie above the range."""
     for _ in range(200):
-        with socket.socket() as probe:
-            probe.bind((ips[0], wanted or 0))
-            port = probe.getsockname()[1]
+        port = wanted or random.randrange(10_000, 30_000)
         try:
             for ip in ips:
                 with socket.socket() as probe:
@@ -45,7 +44,7 @@
                     probe.bind((ip, port))
             return port
         except OSError:
-            continue
+            time.sleep(0.05)
     raise CannotRun("no free port")
 
 
