--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -41,18 +41,25 @@
         self.beats = asyncio.create_task(self.send_beats(beat_delay))
         self.lease_task = asyncio.create_task(self.watch_lease())
 
-    async def crash(self):
-        """Ends the lifetime without notice. Nothing runs after it."""
+    async def crash(self, is_dark=False):
+        """Ends the lifetime without notice. Nothing runs after it. A dark worker answers nothing and resets nothing; it keeps its
+        address until `leave_dark`."""
         self.is_up = False
         for task in (self.beats, self.lease_task):
             task.cancel()
-        await self.server.stop()
+        if not is_dark:
+            await self.server.stop()
         for run in list(self.running.values()):
             run.timer.cancel()
             self.site.run_ended(self, run, "crashed")
         self.running.clear()
         self.site.record(f"worker {self.name} crashed")
 
+    async def leave_dark(self):
+        """Begins the next lifetime of a dark worker. The channels of the former one are unknown to it."""
+        await self.server.stop()
+        await self.start()
+
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
 
