Entries tell which peers were not asked for a job, and which questions were lost

Cause: the log of a resubmission states how many linked peers were asked. Change: job_asked states the listed entries without a link, job_question_lost names a question whose link broke, and two counters show both over time: runs_peers_lost_total and runs_job_questions_lost_total. Result: no decision is changed.

--- a/crates/runs-daemon/src/peer_sessions.rs
+++ b/crates/runs-daemon/src/peer_sessions.rs
@@ -18,6 +18,8 @@
 pub(crate) struct PeerQueues {
     queues: HashMap<SessionId, SessionQueue<PeerFrame>>,
     peers: Gauge,
+    lost_peers: Counter,
+    lost_questions: Counter,
     refused_frames: Counter,
     claims: Counter,
 }
@@ -27,6 +29,8 @@
         Self {
             queues: HashMap::new(),
             peers: metrics::gauge!("runs_peers"),
+            lost_peers: metrics::counter!("runs_peers_lost_total"),
+            lost_questions: metrics::counter!("runs_job_questions_lost_total"),
             refused_frames: metrics::counter!("runs_peer_frames_refused_total"),
             claims: metrics::counter!("runs_job_claims_total"),
         }
@@ -54,6 +58,8 @@
 
     pub(crate) fn publish(&self, control: &DispatchControl) {
         self.peers.set(control.peer_count() as f64);
+        self.lost_peers.absolute(control.lost_peers());
+        self.lost_questions.absolute(control.lost_questions());
         self.refused_frames.absolute(control.refused_peer_frames());
         self.claims.absolute(control.claim_count());
     }
--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -197,6 +197,10 @@
     load_computed_at: MonoTime,
     /// Number of frames of peers that were refused.
     refused_peer_frames: u64,
+    /// Number of links to peers that were lost after their hello.
+    lost_peers: u64,
+    /// Number of questions about jobs whose link was lost before the answer.
+    lost_questions: u64,
     /// Number of the last order to start a run.
     last_order: u64,
     /// Orders that the current event has produced, by session.
@@ -248,6 +252,8 @@
             own_load: PeerLoad::default(),
             load_computed_at: MonoTime::ZERO,
             refused_peer_frames: 0,
+            lost_peers: 0,
+            lost_questions: 0,
             last_order: 0,
             pending_orders: BTreeMap::new(),
             pending_echoes: BTreeMap::new(),
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -51,7 +51,8 @@
     pub(super) fn ask_peers(&mut self, reply: ReplyId, job: Arc<CallerJob>, route: &Arc<RouteRule>, abandon_at: MonoTime) {
         let id = job.id;
         let sessions: Vec<SessionId> = self.peer_registry.linked().map(|(session, _)| session).collect();
-        self.log(format!("event=job_asked job={id} peers={}", sessions.len()));
+        let unlinked = self.peer_registry.unlinked().count();
+        self.log(format!("event=job_asked job={id} peers={} unlinked={unlinked}", sessions.len()));
         let claim = JobClaim {
             job,
             route: route.clone(),
@@ -248,16 +249,22 @@
     pub(super) fn release_peer_jobs(&mut self, session: SessionId, link: &PeerLink) {
         self.peer_outbox.remove(session);
         let free_at = self.home_end(link);
-        let mut lost = Vec::new();
+        let (mut lost, mut unanswered) = (Vec::new(), Vec::new());
         for (id, claim) in self.job_homes.claims_mut() {
-            if claim.peers.remove(session) == Some(PeerAnswer::Open) {
-                claim.blocked_until = claim.blocked_until.max(free_at);
-                claim.lost_home = link.hello.as_ref().map(|hello| hello.incarnation);
-                lost.push(*id);
+            match claim.peers.remove(session) {
+                Some(PeerAnswer::Open) => {
+                    claim.blocked_until = claim.blocked_until.max(free_at);
+                    claim.lost_home = link.hello.as_ref().map(|hello| hello.incarnation);
+                    lost.push(*id);
+                }
+                Some(PeerAnswer::Asked) => unanswered.push(*id),
+                Some(PeerAnswer::Unknown) | None => {}
             }
         }
         let wait = free_at.since(self.now).as_millis();
         lost.into_iter().for_each(|id| self.log(format!("event=job_home_lost job={id} session={session} wait_ms={wait}")));
+        self.lost_questions += unanswered.len() as u64;
+        unanswered.into_iter().for_each(|id| self.log(format!("event=job_question_lost job={id} session={session}")));
     }
 
     /// Returns when every run of a home has ended if nothing more is received from it: the lease of the remote waiter ends, then those
@@ -384,6 +391,11 @@
         self.job_homes.claim_count
     }
 
+    /// Returns the number of questions about jobs whose link was lost before the answer.
+    pub fn lost_questions(&self) -> u64 {
+        self.lost_questions
+    }
+
     pub(super) fn dump_claims(&self) -> Vec<Value> {
         let claims = self.job_homes.claims().map(|(id, claim)| {
             json!({
--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -122,6 +122,7 @@
         };
         let silence = format_age(Some(self.now.since(link.received_at)));
         if let (Some(address), true) = (link.address(), link.hello.is_some()) {
+            self.lost_peers += 1;
             self.log(format!("event=peer_lost address={address} session={session} cause={cause} silence_ms={silence}"));
         }
         self.release_peer_jobs(session, &link);
@@ -179,6 +180,11 @@
         self.refused_peer_frames
     }
 
+    /// Returns the number of links to peers that were lost after their hello.
+    pub fn lost_peers(&self) -> u64 {
+        self.lost_peers
+    }
+
     /// Returns the number of linked peers.
     pub fn peer_count(&self) -> usize {
         self.peer_registry.linked().count()
--- a/crates/runs/src/entry/homes/peer_registry.rs
+++ b/crates/runs/src/entry/homes/peer_registry.rs
@@ -3,7 +3,7 @@
 //! Of two entries, the one with the lower address dials. A link is used once the hello of the peer was received. Peers hold
 //! callers' jobs for each other under a lease, which a pulse renews by echoing the holder's clock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -107,6 +107,8 @@
     identity: PeerIdentity,
     dialer: EntryDialer,
     rng: ChaCha8Rng,
+    /// The other entries that the platform's store lists.
+    listed: BTreeSet<SmolStr>,
     links: BTreeMap<SessionId, PeerLink>,
     last_number: u64,
     has_due_pulse: bool,
@@ -117,14 +119,14 @@
     pub fn new(identity: PeerIdentity) -> Self {
         let dialer = EntryDialer::new(Vec::new()).with_redial(REDIAL_MIN, REDIAL_MAX, 1);
         let rng = ChaCha8Rng::seed_from_u64(identity.incarnation.0);
-        Self { identity, dialer, rng, links: BTreeMap::new(), last_number: 0, has_due_pulse: false }
+        Self { identity, dialer, rng, listed: BTreeSet::new(), links: BTreeMap::new(), last_number: 0, has_due_pulse: false }
     }
 
     /// Sets the entries that the platform's store lists.
     pub fn set_entries(&mut self, entries: &[EntryRecord]) {
         let own = &self.identity.address;
-        let dialed: Vec<&SmolStr> =
-            entries.iter().map(|entry| &entry.address).filter(|address| !own.is_empty() && *address > own).collect();
+        self.listed = entries.iter().map(|entry| entry.address.clone()).filter(|address| address != own).collect();
+        let dialed: Vec<&SmolStr> = self.listed.iter().filter(|address| !own.is_empty() && *address > own).collect();
         self.dialer.retain_addresses(|address| dialed.contains(&address));
         dialed.into_iter().for_each(|address| self.dialer.add_address(address.clone()));
     }
@@ -245,6 +247,11 @@
         self.links.get(&session).filter(|link| link.hello.is_some())
     }
 
+    /// Returns the listed entries without a link.
+    pub fn unlinked(&self) -> impl Iterator<Item = &SmolStr> {
+        self.listed.iter().filter(|address| !self.linked().any(|(_, link)| link.address() == Some(address)))
+    }
+
     /// Returns whether a peer has said hello.
     pub fn has_links(&self) -> bool {
         self.linked().next().is_some()
