An address whose session is open is not forgotten by its dialer

Seen by callers: nothing by itself; it takes away the links over which entries ask each other for a job that is submitted again. Cause: EntryDialer::retain_addresses forgot an address whose session was open. When the store listed the entry again, the address was dialed beside the open link. The acceptor replaced the older link, whose end marked the address as not connected although the newer link was open, so that it was dialed again, without an end. Change: a removed address keeps its state until its session has ended, and the end of a link counts as a disconnect only if no other link to the address was dialed.

--- a/crates/control/src/agent/dialer.rs
+++ b/crates/control/src/agent/dialer.rs
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 struct DialState {
     is_seed: bool,
-    /// Whether the address was removed during a dial. Its state is kept until the dial has a result.
+    /// Whether the address was removed during a dial or a session. Its state is kept until that has ended.
     is_removed: bool,
     is_dialing: bool,
     is_connected: bool,
@@ -57,8 +57,8 @@
         Self { redial_min, redial_max, steady_attempts, ..self }
     }
 
-    /// Adds the address of an entry, unless it is already known. An address that was removed during a dial is not dialed again
-    /// before that dial has a result.
+    /// Adds the address of an entry, unless it is already known. An address that was removed during a dial or a session is not dialed
+    /// again before that has ended.
     pub fn add_address(&mut self, address: SmolStr) {
         self.entries.entry(address).or_insert_with(|| DialState::new(false)).is_removed = false;
     }
@@ -67,7 +67,7 @@
     pub fn retain_addresses(&mut self, is_kept: impl Fn(&SmolStr) -> bool) {
         self.entries.retain(|address, state| {
             state.is_removed |= !is_kept(address);
-            !state.is_removed || state.is_dialing
+            !state.is_removed || state.is_dialing || state.is_connected
         });
     }
 
@@ -87,9 +87,6 @@
             return;
         };
         (state.is_dialing, state.is_connected, state.failures) = (false, true, 0);
-        if state.is_removed {
-            self.entries.remove(address);
-        }
     }
 
     /// Records that the session with the entry at `address` ended, or that dialing it failed.
@@ -108,7 +105,7 @@
 
     /// Returns the addresses to dial now, and schedules their next dial in case no result is recorded.
     pub fn due_addresses(&mut self, now: MonoTime, rng: &mut ChaCha8Rng) -> Vec<SmolStr> {
-        self.entries.retain(|_, state| !state.is_removed || now < state.next_dial_at);
+        self.entries.retain(|_, state| !state.is_removed || state.is_connected || now < state.next_dial_at);
         let mut due = Vec::new();
         for (address, state) in &mut self.entries {
             if !state.is_connected && now >= state.next_dial_at {
--- a/crates/runs/src/entry/homes/peer_registry.rs
+++ b/crates/runs/src/entry/homes/peer_registry.rs
@@ -221,10 +221,11 @@
         }
     }
 
-    /// Removes a link that was closed or lost. Its address will be dialed again if this entry has dialed it.
+    /// Removes a link that was closed or lost. Its address will be dialed again if this entry has dialed it and has no other link to it.
     pub fn record_closed(&mut self, now: MonoTime, session: SessionId) -> Option<PeerLink> {
         let link = self.links.remove(&session)?;
-        if let Some(address) = &link.dialed {
+        let is_dialed = |address: &SmolStr| self.links.values().any(|other| other.dialed.as_ref() == Some(address));
+        if let Some(address) = link.dialed.as_ref().filter(|address| !is_dialed(address)) {
             self.dialer.record_disconnected(address, now, &mut self.rng);
         }
         Some(link)
--- a/crates/runs/tests/support/peer_bench.rs
+++ b/crates/runs/tests/support/peer_bench.rs
@@ -206,10 +206,24 @@
         }
     }
 
+    /// Makes an entry read a list of entries from the store.
+    pub fn list_entries(&mut self, entry: usize, listed: &[usize]) {
+        let records = listed.iter().map(|number| EntryRecord { address: entry_address(*number), zone: None, millicores: 0 });
+        self.deliver(entry, DispatchEvent::EntriesRead(records.collect()));
+    }
+
+    /// Resets all links between entries. Both sides learn of it.
+    pub fn close_links(&mut self) {
+        for (session, (a, b)) in std::mem::take(&mut self.links) {
+            for entry in [a, b] {
+                self.sent.push((entry, DispatchEvent::Peer(PeerEvent::Closed(session))));
+            }
+        }
+    }
+
     fn configure(&mut self, entry: usize, entries: usize) {
-        let records = (0..entries).map(|number| EntryRecord { address: entry_address(number), zone: None, millicores: 0 });
         self.deliver(entry, DispatchEvent::PlanRead(make_patient_plan()));
-        self.deliver(entry, DispatchEvent::EntriesRead(records.collect()));
+        self.list_entries(entry, &(0..entries).collect::<Vec<_>>());
         (0..self.agents.len()).for_each(|agent| self.open_session(agent, entry));
     }
 
