A job that may run at an entry without a link is not started again

Seen by callers: a task ran at two workers at once. A caller whose connection broke on its own side submitted its job again to another entry. Cause: that entry asked the peers it was linked with at that moment. A peer whose link was being dialed again, a question whose link broke before the answer, a peer that was silent for 958 ms after its pulse was due, and entries that it had not heard of yet counted as not holding the job. The class: silence, or the lack of a connection, is taken as the proof that a run has ended. Links that replaced each other every 80 ms opened this gap again and again; a reset or a partition opens it without them. Change: a resubmission is admitted once every known entry has answered, or is proved to have no run: another process says hello at its address, or it has left the store's list and was not heard for ten seconds. After a second without that the caller is answered with 504. Entries that the store has dropped are remembered and dialed; links are redialed every second at the latest. A full table of claims or remote waiters no longer counts as 'not held'. An address that leads back to the entry itself is recognized.

--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -1,21 +1,24 @@
 //! One home for each resubmitted job: queries to peers and their answers, remote waiters, and jobs whose home was lost.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{json, Value};
+use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId};
 use vanillacleat_core::peer_frames::{HeldState, JobQuery, JobReport, JobReports, JobVerdict, PeerFrame};
+use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::RouteRule;
 use vanillacleat_core::units::{Millis, MonoTime};
 
 use super::{DispatchControl, MAINTENANCE_INTERVAL};
 use crate::entry::caller_api::{CallerAnswer, JobPhase};
 use crate::entry::homes::job_homes::{ClaimState, JobClaim, PeerAnswer, PeerAnswers, RemoteWaiter};
-use crate::entry::homes::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE, PULSE_INTERVAL};
+use crate::entry::homes::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE};
 use crate::entry::order::job_order::{resubmit_delay, JobTimes};
+use crate::log_fields::format_list;
 
 /// Minimum interval of the frames with queries, which bounds their number when many callers resubmit.
 const QUERY_INTERVAL: Duration = Duration::from_millis(25);
@@ -35,11 +38,11 @@
 }
 
 impl DispatchControl {
-    /// Returns whether peers have to be asked for a job before it is admitted: its caller has submitted it before, and it is not
+    /// Returns whether other entries have to be asked for a job before it is admitted: its caller has submitted it before, and it is not
     /// known here. First submissions cause no message.
     pub(super) fn must_ask(&self, id: &CallerJobId, times: &JobTimes) -> bool {
         let is_resubmission = times.submitted_at < self.now;
-        is_resubmission && self.job_table.get(id).is_none() && self.peer_registry.has_links() && self.job_homes.has_room()
+        is_resubmission && self.job_table.get(id).is_none() && self.peer_registry.may_have_peers()
     }
 
     /// Makes a caller wait for a claim that exists. Returns whether there is one.
@@ -47,17 +50,24 @@
         self.job_homes.add_claimant(id, reply, self.now + caller_timeout.unwrap_or_default())
     }
 
-    /// Asks all peers for a job.
+    /// Claims a job: asks all peers for it.
     pub(super) fn ask_peers(&mut self, reply: ReplyId, job: Arc<CallerJob>, route: &Arc<RouteRule>, abandon_at: MonoTime) {
         let id = job.id;
+        if !self.job_homes.has_room() {
+            self.log(format!("event=job_unasked job={id}"));
+            return self.reply(reply, CallerAnswer::Abandoned("too many jobs are being asked for"));
+        }
         let sessions: Vec<SessionId> = self.peer_registry.linked().map(|(session, _)| session).collect();
-        let unlinked = self.peer_registry.unlinked().count();
+        let unresolved: BTreeSet<SmolStr> = self.peer_registry.known_addresses().cloned().collect();
+        let unlinked = unresolved.len().saturating_sub(sessions.len());
         self.log(format!("event=job_asked job={id} peers={} unlinked={unlinked}", sessions.len()));
         let claim = JobClaim {
             job,
             route: route.clone(),
             abandon_at,
-            asked_at: self.now,
+            claimed_at: self.now,
+            unresolved,
+            unresolved_since: self.now,
             extensions: 0,
             blocked_until: MonoTime::ZERO,
             lost_home: None,
@@ -71,11 +81,12 @@
 
     fn ask_peer(&mut self, session: SessionId, id: &CallerJobId) {
         let now = self.now;
+        let address = self.peer_registry.get(session).and_then(PeerLink::address).cloned();
         let Some(claim) = self.job_homes.claim_mut(id) else {
             return;
         };
         claim.peers.set(session, PeerAnswer::Asked);
-        claim.asked_at = now;
+        address.into_iter().for_each(|address| claim.add_unresolved(now, address));
         let query = JobQuery { job: *id, patience: Millis::from_duration(claim.abandon_at.since(now)) };
         self.peer_outbox.queries.entry(session).or_default().push(query);
     }
@@ -110,27 +121,27 @@
     }
 
     fn answer_query(&mut self, session: SessionId, query: &JobQuery) {
-        let state = self.held_state(session, query);
-        self.push_report(session, query.job, state);
+        if let Some(state) = self.held_state(session, query) {
+            self.push_report(session, query.job, state);
+        }
     }
 
     fn push_report(&mut self, session: SessionId, job: CallerJobId, state: HeldState) {
         self.peer_outbox.reports.entry(session).or_default().push(JobReport { job, state });
     }
 
-    /// Returns what a peer is told of a job. If the job is open here, the peer becomes a remote waiter.
-    fn held_state(&mut self, session: SessionId, query: &JobQuery) -> HeldState {
+    /// Returns what a peer is told of a job, or `None` if there are too many remote waiters: an answer that the job is unknown would not be
+    /// true. If the job is open here, the peer becomes a remote waiter.
+    fn held_state(&mut self, session: SessionId, query: &JobQuery) -> Option<HeldState> {
         let id = query.job;
         if let Some(phase) = self.job_table.final_phase(&id) {
-            return verdict_of(&CallerAnswer::Ended(phase)).map_or(HeldState::Unknown, HeldState::Ended);
+            return Some(verdict_of(&CallerAnswer::Ended(phase)).map_or(HeldState::Unknown, HeldState::Ended));
         }
         if self.job_table.get(&id).is_none() && !self.is_first_claimant(session, &id) {
-            return HeldState::Unknown;
+            return Some(HeldState::Unknown);
         }
         let told_at = MonoTime::from_elapsed(clock_millis(self.now).to_duration());
-        let Some((reply, is_new)) = self.job_homes.add_remote(told_at, session, id) else {
-            return HeldState::Unknown;
-        };
+        let (reply, is_new) = self.job_homes.add_remote(told_at, session, id)?;
         let abandon_at = self.now + query.patience.to_duration();
         if !self.job_table.join(&id, reply, abandon_at, is_new) && is_new {
             self.job_homes.add_claimant(&id, reply, abandon_at);
@@ -138,7 +149,7 @@
         if is_new {
             self.log(format!("event=job_held job={id} session={session}"));
         }
-        HeldState::Open
+        Some(HeldState::Open)
     }
 
     /// Returns whether this entry claims a job and goes before a peer that claims it as well. The peer that has been asked and did not
@@ -158,13 +169,16 @@
 
     fn handle_job_report(&mut self, session: SessionId, report: &JobReport) {
         let id = report.job;
-        let incarnation = self.peer_registry.get(session).and_then(|link| link.hello.as_ref()).map(|hello| hello.incarnation);
+        let link = self.peer_registry.get(session);
+        let incarnation = link.and_then(|link| link.hello.as_ref()).map(|hello| hello.incarnation);
+        let address = link.and_then(PeerLink::address).cloned().unwrap_or_default();
         let Some(claim) = self.job_homes.claim_mut(&id) else {
             return self.handle_late_report(session, report);
         };
         let Some(known) = claim.peers.get(session) else {
             return;
         };
+        claim.unresolved.remove(&address);
         match (known, report.state) {
             (PeerAnswer::Open, HeldState::Unknown) => self.ask_peer(session, &id),
             (_, HeldState::Unknown | HeldState::Ended(JobVerdict::Refused)) => {
@@ -177,8 +191,7 @@
                 claim.peers.set(session, PeerAnswer::Open);
                 // The pulse confirms to the peer that this entry waits.
                 self.peer_registry.request_pulse(session);
-                let home = self.peer_registry.get(session).and_then(PeerLink::address).cloned().unwrap_or_default();
-                self.log(format!("event=job_claimed job={id} home={home} session={session}"));
+                self.log(format!("event=job_claimed job={id} home={address} session={session}"));
             }
             (_, HeldState::Ended(verdict)) => self.finish_claim(&id, answer_of(verdict)),
         }
@@ -292,43 +305,54 @@
             }
             self.push_report(session, job, HeldState::Unknown);
         }
-        // A peer that takes longer to handle a frame counts as strained.
-        let ask_timeout = self.load.lag_max() + QUERY_INTERVAL;
         if gap > ANSWER_GAP_MAX {
             let now = self.now;
-            self.job_homes.claims_mut().for_each(|(_, claim)| claim.extend(now, ask_timeout));
+            self.job_homes.claims_mut().for_each(|(_, claim)| claim.extend(now));
         }
         let is_due = std::mem::take(&mut self.job_homes.is_changed) || self.now.since(self.claims_checked_at) >= MAINTENANCE_INTERVAL;
         if is_due && !self.resume_barrier.is_raised() {
             self.claims_checked_at = self.now;
-            self.resolve_claims(ask_timeout);
+            self.resolve_claims();
         }
     }
 
-    fn resolve_claims(&mut self, ask_timeout: Duration) {
+    fn resolve_claims(&mut self) {
         let home_end = |session| self.peer_registry.get(session).map_or(MonoTime::ZERO, |link| self.home_end(link));
-        let answer_end = |session, asked_at| self.answer_end(session, asked_at, ask_timeout);
-        let states = self.job_homes.claims().map(|(id, claim)| (*id, claim.state(self.now, answer_end, home_end)));
+        let states = self.job_homes.claims().map(|(id, claim)| (*id, claim.state(self.now, &self.peer_registry, home_end)));
         let due: Vec<(CallerJobId, ClaimState)> = states.filter(|(_, state)| *state != ClaimState::Wait).collect();
         for (id, state) in due {
             match state {
                 ClaimState::RunHere => self.admit_claim(&id),
+                ClaimState::Unresolved => self.abandon_claim(&id),
                 ClaimState::TimedOut => self.finish_claim(&id, CallerAnswer::Abandoned("no time was left")),
                 ClaimState::Wait => {}
             }
         }
     }
 
-    /// Returns until when the answer of a peer is waited for that was asked at `asked_at`: for `ask_timeout`, and from a peer that has
-    /// been silent since, until its runs have ended. Its next pulse may have been due when its silence began.
-    fn answer_end(&self, session: SessionId, asked_at: MonoTime, ask_timeout: Duration) -> MonoTime {
-        let Some(link) = self.peer_registry.get(session) else {
-            return MonoTime::ZERO;
-        };
-        let silence_max = PULSE_INTERVAL + self.options.lease_terms.agent_loss_timeout();
-        let is_silent = link.received_at < asked_at;
-        let end = link.received_at + if is_silent { silence_max } else { ask_timeout };
-        end.max(asked_at + ask_timeout).min(asked_at + silence_max)
+    /// Gives a claim up because an entry that may run the job can't be asked. The answer says that the job may have run.
+    fn abandon_claim(&mut self, id: &CallerJobId) {
+        let unresolved = self.job_homes.claim_mut(id).map(|claim| claim.unresolved.clone()).unwrap_or_default();
+        self.log(format!("event=claim_unresolved job={id} entries={}", format_list(unresolved.iter())));
+        self.finish_claim(id, CallerAnswer::Abandoned("an entry that may run the job can't be asked"));
+    }
+
+    /// Records that an entry is gone, so that it runs nothing.
+    pub(super) fn forget_gone_peers(&mut self) {
+        for address in self.peer_registry.forget_gone(self.now) {
+            self.log(format!("event=peer_forgotten address={address}"));
+            for (_, claim) in self.job_homes.claims_mut() {
+                claim.unresolved.remove(&address);
+            }
+        }
+    }
+
+    /// Records the entries that the store lists. Those that are new may run the claimed jobs.
+    pub(super) fn record_listed_peers(&mut self, entries: &[EntryRecord]) {
+        let now = self.now;
+        for address in self.peer_registry.set_entries(now, entries) {
+            self.job_homes.claims_mut().for_each(|(_, claim)| claim.add_unresolved(now, address.clone()));
+        }
     }
 
     /// Admits a job that no peer holds, unless this entry has no room for it now.
@@ -336,12 +360,11 @@
         let Some(claim) = self.job_homes.take_claim(id) else {
             return;
         };
-        let unanswered = claim.peers.unanswered();
         for session in claim.peers.homes() {
             self.peer_outbox.takeovers.entry(*session).or_default().push(*id);
         }
-        let waited = self.now.since(claim.asked_at).as_millis();
-        self.log(format!("event=claim_admitted job={id} unanswered={unanswered} waited_ms={waited}"));
+        let waited = self.now.since(claim.claimed_at).as_millis();
+        self.log(format!("event=claim_admitted job={id} waited_ms={waited}"));
         let caller_timeout = Some(claim.abandon_at.since(self.now));
         let times = self.job_times(&claim.job, &claim.route, caller_timeout);
         for waiter in claim.waiters {
@@ -401,7 +424,7 @@
             json!({
                 "job": id.to_string(),
                 "homes": claim.peers.homes().iter().map(ToString::to_string).collect::<Vec<_>>(),
-                "unanswered": claim.peers.unanswered(),
+                "unresolved": claim.unresolved.iter().collect::<Vec<_>>(),
                 "blocked_until": claim.blocked_until.to_string(),
                 "waiters": claim.waiters.len(),
             })
--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -92,7 +92,8 @@
     fn handle_peer_hello(&mut self, session: SessionId, hello: PeerHello) -> Result<(), FrameRefusal> {
         let line =
             format!("event=peer_found address={} session={session} zone={} incarnation={}", hello.address, hello.zone, hello.incarnation);
-        let (answer, replaced) = self.peer_registry.record_hello(self.now, session, hello)?;
+        let loss_timeout = self.options.lease_terms.agent_loss_timeout();
+        let (answer, replaced) = self.peer_registry.record_hello(self.now, session, hello, loss_timeout)?;
         if let Some(replaced) = replaced {
             self.close_peer(replaced, "replaced");
         }
@@ -133,6 +134,7 @@
         for session in self.peer_registry.silent_links(self.now, self.resumed_at) {
             self.close_peer(session, "silent");
         }
+        self.forget_gone_peers();
         for address in self.peer_registry.due_dials(self.now) {
             self.actions.push(DispatchAction::Peer(PeerAction::Dial(address)));
         }
--- a/crates/runs/src/entry/dispatch/sessions.rs
+++ b/crates/runs/src/entry/dispatch/sessions.rs
@@ -216,7 +216,7 @@
 
     pub(super) fn handle_entries(&mut self, entries: Vec<EntryRecord>) {
         // Also if nothing has changed: an address that could not be dialed for minutes is dialed again.
-        self.peer_registry.set_entries(&entries);
+        self.record_listed_peers(&entries);
         if entries == self.entries {
             return;
         }
--- a/crates/runs/src/entry/homes/job_homes.rs
+++ b/crates/runs/src/entry/homes/job_homes.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId};
 use vanillacleat_core::ids::Incarnation;
@@ -16,10 +17,13 @@
 
 use super::peer_registry::{PeerRegistry, HOLDING_LEASE};
 
-/// Maximum number of claims. Jobs beyond it are not asked for.
+/// Maximum number of claims. Resubmissions beyond it are not admitted.
 const CLAIMS_MAX: usize = 4_096;
-/// Maximum number of remote waiters. Peers that ask beyond it are told that the job is unknown.
+/// Maximum number of remote waiters. Peers that ask beyond it get no answer.
 const REMOTE_WAITERS_MAX: usize = 4_096;
+/// Maximum time that a claim waits for entries that don't answer. It allows for a lost link that is dialed again, and for an entry that is
+/// behind. The caller then submits the job again, perhaps to the entry that runs it.
+const UNRESOLVED_MAX: Duration = Duration::from_secs(1);
 /// Time that is left for reading the answers that may have arrived while this process was stalled.
 const READING_TIME: Duration = Duration::from_millis(25);
 /// Maximum number of times that a claim waits longer because of stalls, so that an entry which gets its processor in slices goes on.
@@ -47,8 +51,12 @@
     pub route: Arc<RouteRule>,
     /// When the last of the callers stops waiting.
     pub abandon_at: MonoTime,
-    /// When the peers were last asked, or later if this process was stalled since.
-    pub asked_at: MonoTime,
+    /// When the claim was made.
+    pub claimed_at: MonoTime,
+    /// The entries that may run the job as far as is known: they have not answered, or can't be asked because they have no link.
+    pub unresolved: BTreeSet<SmolStr>,
+    /// When the first of these became unresolved, or later if this process was stalled since.
+    pub unresolved_since: MonoTime,
     /// Number of times that the claim waits longer because of stalls.
     pub extensions: u32,
     /// When every run of a home that was lost has ended.
@@ -66,7 +74,6 @@
 pub(in crate::entry) struct PeerAnswers {
     answers: BTreeMap<SessionId, PeerAnswer>,
     homes: Vec<SessionId>,
-    unanswered: usize,
 }
 
 impl PeerAnswers {
@@ -79,10 +86,8 @@
     pub fn set(&mut self, session: SessionId, answer: PeerAnswer) {
         self.remove(session);
         self.answers.insert(session, answer);
-        match answer {
-            PeerAnswer::Asked => self.unanswered += 1,
-            PeerAnswer::Open => self.homes.push(session),
-            PeerAnswer::Unknown => {}
+        if answer == PeerAnswer::Open {
+            self.homes.push(session);
         }
     }
 
@@ -90,7 +95,6 @@
     pub fn remove(&mut self, session: SessionId) -> Option<PeerAnswer> {
         let answer = self.answers.remove(&session)?;
         self.homes.retain(|home| *home != session);
-        self.unanswered -= usize::from(answer == PeerAnswer::Asked);
         Some(answer)
     }
 
@@ -98,25 +102,17 @@
     pub fn homes(&self) -> &[SessionId] {
         &self.homes
     }
-
-    /// Returns the number of peers that have not answered.
-    pub fn unanswered(&self) -> usize {
-        self.unanswered
-    }
-
-    /// Returns the links to the peers that have not answered.
-    fn awaited(&self) -> impl Iterator<Item = SessionId> + '_ {
-        self.answers.iter().filter(|(_, answer)| **answer == PeerAnswer::Asked).map(|(session, _)| *session)
-    }
 }
 
 /// What to do with a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::entry) enum ClaimState {
-    /// Wait for answers, for the end of the job at its home, or for the end of a lost home's leases.
+    /// Wait for answers and links, for the end of the job at its home, or for the end of a lost home's leases.
     Wait,
-    /// No peer holds the job.
+    /// No entry holds the job.
     RunHere,
+    /// An entry that may run the job can't be asked.
+    Unresolved,
     /// No caller waits any more.
     TimedOut,
 }
@@ -154,30 +150,36 @@
 }
 
 impl JobClaim {
-    /// Returns what to do at `now`. A peer that was asked is waited for until `answer_end`, which gets the time of the question, and a
-    /// home until `home_end`, when its runs have ended if nothing more is received from it.
-    pub fn state(
-        &self,
-        now: MonoTime,
-        answer_end: impl Fn(SessionId, MonoTime) -> MonoTime,
-        home_end: impl Fn(SessionId) -> MonoTime,
-    ) -> ClaimState {
-        let is_asking = self.peers.unanswered() > 0 && self.peers.awaited().any(|session| now < answer_end(session, self.asked_at));
+    /// Returns what to do at `now`. A home is waited for until `home_end`, when its runs have ended if nothing more is received from it, and
+    /// processes that were replaced until their runs have ended.
+    pub fn state(&self, now: MonoTime, registry: &PeerRegistry, home_end: impl Fn(SessionId) -> MonoTime) -> ClaimState {
         let has_home = self.peers.homes().iter().any(|session| now < home_end(*session));
         if now >= self.abandon_at {
             ClaimState::TimedOut
-        } else if has_home || now < self.blocked_until || is_asking {
+        } else if has_home || now < self.blocked_until.max(registry.former_runs_end()) {
             ClaimState::Wait
-        } else {
+        } else if self.unresolved.is_empty() && registry.is_list_read() {
             ClaimState::RunHere
+        } else if now.since(self.unresolved_since) < UNRESOLVED_MAX {
+            ClaimState::Wait
+        } else {
+            ClaimState::Unresolved
+        }
+    }
+
+    /// Records that an entry may run the job.
+    pub fn add_unresolved(&mut self, now: MonoTime, address: SmolStr) {
+        if self.unresolved.is_empty() {
+            self.unresolved_since = now;
         }
+        self.unresolved.insert(address);
     }
 
     /// Leaves time for reading the peers' answers after a stall of this process.
-    pub fn extend(&mut self, now: MonoTime, ask_timeout: Duration) {
+    pub fn extend(&mut self, now: MonoTime) {
         if self.extensions < EXTENSIONS_MAX {
             self.extensions += 1;
-            self.asked_at = self.asked_at.max(now.before(ask_timeout) + READING_TIME);
+            self.unresolved_since = self.unresolved_since.max(now.before(UNRESOLVED_MAX) + READING_TIME);
         }
     }
 }
--- a/crates/runs/src/entry/homes/peer_registry.rs
+++ b/crates/runs/src/entry/homes/peer_registry.rs
@@ -3,7 +3,7 @@
 //! Of two entries, the one with the lower address dials. A link is used once the hello of the peer was received. Peers hold
 //! callers' jobs for each other under a lease, which a pulse renews by echoing the holder's clock.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -16,6 +16,8 @@
 use vanillacleat_core::run_frames::{EntryRecord, SessionOrder};
 use vanillacleat_core::units::{Millis, MonoTime};
 
+use super::known_peers::KnownPeers;
+
 /// Interval of the pulses on a link over which no jobs are held.
 pub const PULSE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of the pulses on a link over which a job is held. Several of them renew the lease in time.
@@ -34,8 +36,8 @@
 pub const SERVICES_MAX: usize = 32;
 /// Delay before the first redial after a failure.
 const REDIAL_MIN: Duration = Duration::from_millis(200);
-/// Maximum delay between redials. An entry that has left is removed from the store's list within some seconds.
-const REDIAL_MAX: Duration = Duration::from_secs(5);
+/// Maximum delay between redials. Resubmissions wait for the link; an entry that has left is forgotten within some seconds.
+const REDIAL_MAX: Duration = Duration::from_secs(1);
 
 /// Introduces the own entry, except for the number of the link.
 #[derive(Clone, Debug)]
@@ -55,6 +57,8 @@
 pub struct PeerLink {
     /// The address that this entry dialed; absent if the peer has dialed.
     pub dialed: Option<SmolStr>,
+    /// The number of the hello that this entry has sent, if it has dialed.
+    hello_number: Option<u64>,
     /// The peer's hello; absent until it is received.
     pub hello: Option<PeerHello>,
     /// When the last frame was received, or the link was opened.
@@ -107,8 +111,9 @@
     identity: PeerIdentity,
     dialer: EntryDialer,
     rng: ChaCha8Rng,
-    /// The other entries that the platform's store lists.
-    listed: BTreeSet<SmolStr>,
+    known: KnownPeers,
+    /// When every run of a process that was replaced by another one at its address has ended.
+    former_runs_end: MonoTime,
     links: BTreeMap<SessionId, PeerLink>,
     last_number: u64,
     has_due_pulse: bool,
@@ -119,14 +124,31 @@
     pub fn new(identity: PeerIdentity) -> Self {
         let dialer = EntryDialer::new(Vec::new()).with_redial(REDIAL_MIN, REDIAL_MAX, 1);
         let rng = ChaCha8Rng::seed_from_u64(identity.incarnation.0);
-        Self { identity, dialer, rng, listed: BTreeSet::new(), links: BTreeMap::new(), last_number: 0, has_due_pulse: false }
+        let known = KnownPeers::new(identity.address.clone());
+        let (links, former_runs_end) = (BTreeMap::new(), MonoTime::ZERO);
+        Self { identity, dialer, rng, known, former_runs_end, links, last_number: 0, has_due_pulse: false }
+    }
+
+    /// Records the entries that the platform's store lists. Returns the addresses of those that were not known.
+    pub fn set_entries(&mut self, now: MonoTime, entries: &[EntryRecord]) -> Vec<SmolStr> {
+        let new = self.known.record_list(now, entries.iter().map(|entry| entry.address.clone()));
+        self.update_dialer();
+        new
+    }
+
+    /// Forgets entries that are gone. Returns their addresses.
+    pub fn forget_gone(&mut self, now: MonoTime) -> Vec<SmolStr> {
+        let links = &self.links;
+        let gone = self.known.forget_gone(now, |address| links.values().any(|link| link.address() == Some(address)));
+        if !gone.is_empty() {
+            self.update_dialer();
+        }
+        gone
     }
 
-    /// Sets the entries that the platform's store lists.
-    pub fn set_entries(&mut self, entries: &[EntryRecord]) {
+    fn update_dialer(&mut self) {
         let own = &self.identity.address;
-        self.listed = entries.iter().map(|entry| entry.address.clone()).filter(|address| address != own).collect();
-        let dialed: Vec<&SmolStr> = self.listed.iter().filter(|address| !own.is_empty() && *address > own).collect();
+        let dialed: Vec<&SmolStr> = self.known.addresses().filter(|address| !own.is_empty() && *address > own).collect();
         self.dialer.retain_addresses(|address| dialed.contains(&address));
         dialed.into_iter().for_each(|address| self.dialer.add_address(address.clone()));
     }
@@ -149,6 +171,7 @@
         let hello = dialed.is_some().then(|| self.make_hello());
         let link = PeerLink {
             dialed,
+            hello_number: hello.as_ref().map(|hello| hello.order.number),
             hello: None,
             received_at: now,
             load: PeerLoad::default(),
@@ -167,13 +190,16 @@
     }
 
     /// Records a hello. Returns the hello to answer with if the peer has dialed, and the earlier link of the peer, which is replaced.
+    /// The runs of a former process at the peer's address end within `loss_timeout`.
     pub fn record_hello(
         &mut self,
         now: MonoTime,
         session: SessionId,
         hello: PeerHello,
+        loss_timeout: Duration,
     ) -> Result<(Option<PeerHello>, Option<SessionId>), FrameRefusal> {
         if hello.incarnation == self.identity.incarnation {
+            self.record_own_hello(&hello);
             return Err(FrameRefusal::OwnHello);
         }
         if hello.address.len() > ADDRESS_BYTES_MAX {
@@ -186,10 +212,22 @@
         }
         let answer = self.make_hello();
         let link = self.links.get_mut(&session).filter(|link| link.hello.is_none()).ok_or(FrameRefusal::OutOfOrder)?;
+        let incarnation = hello.incarnation;
         (link.hello, link.received_at, link.is_pulse_due) = (Some(hello), now, true);
+        if link.address().is_some_and(|address| self.known.record_hello(now, address, incarnation)) {
+            self.former_runs_end = now + loss_timeout;
+        }
         Ok((link.dialed.is_none().then_some(answer), earlier.map(|(other, _)| other)))
     }
 
+    /// Records that this entry has dialed itself under another address.
+    fn record_own_hello(&mut self, hello: &PeerHello) {
+        let own_links = self.links.values().filter(|link| link.hello_number == Some(hello.order.number));
+        let own_addresses: Vec<SmolStr> = own_links.filter_map(|link| link.dialed.clone()).collect();
+        own_addresses.iter().for_each(|address| self.known.record_own(address));
+        self.update_dialer();
+    }
+
     /// Records that a frame other than a hello was received.
     pub fn record_frame(&mut self, now: MonoTime, session: SessionId) -> Result<(), FrameRefusal> {
         let link = self.links.get_mut(&session).filter(|link| link.hello.is_some()).ok_or(FrameRefusal::OutOfOrder)?;
@@ -224,6 +262,9 @@
     /// Removes a link that was closed or lost. Its address will be dialed again if this entry has dialed it and has no other link to it.
     pub fn record_closed(&mut self, now: MonoTime, session: SessionId) -> Option<PeerLink> {
         let link = self.links.remove(&session)?;
+        if let (Some(address), Some(_)) = (link.address(), &link.hello) {
+            self.known.record_lost(now, address);
+        }
         let is_dialed = |address: &SmolStr| self.links.values().any(|other| other.dialed.as_ref() == Some(address));
         if let Some(address) = link.dialed.as_ref().filter(|address| !is_dialed(address)) {
             self.dialer.record_disconnected(address, now, &mut self.rng);
@@ -248,9 +289,24 @@
         self.links.get(&session).filter(|link| link.hello.is_some())
     }
 
-    /// Returns the listed entries without a link.
-    pub fn unlinked(&self) -> impl Iterator<Item = &SmolStr> {
-        self.listed.iter().filter(|address| !self.linked().any(|(_, link)| link.address() == Some(address)))
+    /// Returns the addresses of all entries that may run a job, with or without a link.
+    pub fn known_addresses(&self) -> impl Iterator<Item = &SmolStr> {
+        self.known.addresses()
+    }
+
+    /// Returns whether other entries may run a job: one is known, or the store's list has not been read.
+    pub fn may_have_peers(&self) -> bool {
+        !self.known.is_list_read() || self.known.addresses().next().is_some()
+    }
+
+    /// Returns whether the store's list was read, so that no entry that may run a job is unknown.
+    pub fn is_list_read(&self) -> bool {
+        self.known.is_list_read()
+    }
+
+    /// Returns when every run of a process that was replaced by another one at its address has ended.
+    pub fn former_runs_end(&self) -> MonoTime {
+        self.former_runs_end
     }
 
     /// Returns whether a peer has said hello.
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -10,9 +10,10 @@
 const CALLER: u64 = 1;
 /// Time after which a caller submits its job again, in milliseconds.
 const RESUBMIT_AFTER: u64 = 1_300;
-/// Reply ids of the first submission and of the second.
+/// Reply ids of the first submission and of those after it.
 const FIRST: u64 = 1;
 const SECOND: u64 = 2;
+const THIRD: u64 = 3;
 
 /// Counts the lines of an event that entries have logged since `start`.
 fn count_lines(bench: &PeerBench, event: &str, start: u64) -> usize {
@@ -44,3 +45,151 @@
     bench.advance(bench.now() + 2_000);
     assert_eq!((bench.entry(0).peer_count(), bench.entry(1).peer_count()), (1, 1));
 }
+
+/// Returns entries of which entry 0 runs the job of the caller, which takes `run_time`. Its caller's connection breaks on the caller's side
+/// only, so that the entry goes on.
+fn running(entries: usize, run_time: u64) -> PeerBench {
+    let mut bench = PeerBench::new(entries, 4);
+    bench.set_run_time(run_time);
+    bench.submit(0, CALLER, FIRST);
+    bench.advance(bench.now() + RESUBMIT_AFTER);
+    assert_eq!(bench.runs_of(CALLER).len(), 1);
+    bench
+}
+
+fn assert_single_run(bench: &PeerBench) {
+    assert_eq!((bench.runs_of(CALLER).len(), bench.double_runs.len()), (1, 0), "{:?}", bench.log_lines);
+}
+
+// Guards against a peer that counts as not holding a job because the link broke before its answer.
+#[rstest]
+fn question_that_is_lost_with_its_link_starts_no_second_run(#[values(0, 1, 2, 3, 30)] reset_after: u64, #[values(2, 3)] entries: usize) {
+    let mut bench = running(entries, 4_000);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + reset_after);
+    bench.close_links();
+    bench.advance(bench.now() + 3_000);
+    assert_single_run(&bench);
+    assert_eq!(bench.answers_to(SECOND), [&CallerAnswer::Ended(JobPhase::Succeeded)], "{:?}", bench.log_lines);
+}
+
+// Guards against a peer that counts as not holding a job because it has no link at the moment of the resubmission.
+#[rstest]
+fn resubmission_while_no_link_is_open_starts_no_second_run(#[values(0, 1, 50, 100)] reset_before: u64) {
+    let mut bench = running(3, 4_000);
+    bench.close_links();
+    bench.advance(bench.now() + reset_before);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 3_000);
+    assert_single_run(&bench);
+    assert_eq!(bench.answers_to(SECOND), [&CallerAnswer::Ended(JobPhase::Succeeded)], "{:?}", bench.log_lines);
+}
+
+// Guards against a second run while links between entries are reset again and again.
+#[rstest]
+fn links_that_are_reset_again_and_again_start_no_second_run(#[values(20, 70, 100, 130)] interval: u64) {
+    let mut bench = running(4, 3_000);
+    for entry in 1..4 {
+        bench.resubmit(entry, CALLER, 1 + entry as u64);
+        for _ in 0..(400 / interval) {
+            bench.close_links();
+            bench.advance(bench.now() + interval);
+        }
+    }
+    bench.advance(bench.now() + 1_500);
+    assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
+}
+
+/// Cuts an entry off from all others. Its agents go on hearing it.
+fn partition(bench: &mut PeerBench, entry: usize, entries: usize) {
+    bench.cut.extend((0..entries).filter(|other| *other != entry).map(|other| (entry.min(other), entry.max(other))));
+}
+
+// Guards against an entry that counts as having ended its runs because it is silent or its link was closed: its agents may hear it.
+#[rstest]
+fn job_of_a_partitioned_entry_is_not_started_again(#[values(0, 500, 1_500, 2_600)] cut_before: u64, #[values(true, false)] is_reset: bool) {
+    let mut bench = PeerBench::new(3, 4);
+    bench.set_run_time(30_000);
+    bench.submit(0, CALLER, FIRST);
+    bench.advance(bench.now() + RESUBMIT_AFTER);
+    partition(&mut bench, 0, 3);
+    if is_reset {
+        bench.close_links();
+    }
+    bench.advance(bench.now() + cut_before);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 3_400);
+    assert_single_run(&bench);
+    // The answer must not say that the job has not run, and it comes while the caller can still ask elsewhere.
+    assert!(matches!(bench.answers_to(SECOND)[..], [CallerAnswer::Abandoned(_)]), "{:?}", bench.answers);
+}
+
+// Guards against a job that no entry runs any more because an entry was partitioned while its caller came back.
+#[rstest]
+fn job_is_joined_once_the_partition_has_healed(#[values(true, false)] is_reset: bool) {
+    let mut bench = running(3, 4_500);
+    partition(&mut bench, 0, 3);
+    if is_reset {
+        bench.close_links();
+    }
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 1_100);
+    assert!(matches!(bench.answers_to(SECOND)[..], [CallerAnswer::Abandoned(_)]), "{:?}", bench.answers);
+    bench.cut.clear();
+    bench.advance(bench.now() + RESUBMIT_AFTER);
+    bench.resubmit(2, CALLER, THIRD);
+    bench.advance(bench.now() + 2_000);
+    assert_single_run(&bench);
+    assert_eq!(bench.answers_to(THIRD), [&CallerAnswer::Ended(JobPhase::Succeeded)], "{:?}", bench.log_lines);
+}
+
+// Guards against an entry that is not asked because the store has dropped it from the list and its link is broken.
+#[test]
+fn entry_that_has_left_the_list_is_still_asked() {
+    let mut bench = running(3, 6_000);
+    (1..3).for_each(|entry| bench.list_entries(entry, &[1, 2]));
+    partition(&mut bench, 0, 3);
+    bench.close_links();
+    bench.advance(bench.now() + 500);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 2_000);
+    assert_single_run(&bench);
+}
+
+// Guards against a run beside that of an entry's former process, which its agents let go on for a while.
+#[test]
+fn restarted_entry_is_waited_for_until_its_former_runs_have_ended() {
+    let mut bench = running(3, 60_000);
+    bench.restart(0);
+    bench.set_run_time(200);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 2_000);
+    assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
+    assert_eq!(bench.answers_to(SECOND), [&CallerAnswer::Ended(JobPhase::Succeeded)], "{:?}", bench.log_lines);
+}
+
+// Guards against jobs that are never started again after an entry has left for good.
+#[test]
+fn entry_that_has_left_for_good_is_forgotten() {
+    let mut bench = running(3, 60_000);
+    bench.set_paused(0, true);
+    bench.advance(bench.now() + 4_000);
+    (1..3).for_each(|entry| bench.list_entries(entry, &[1, 2]));
+    bench.set_run_time(200);
+    bench.advance(bench.now() + 10_000);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 500);
+    assert_eq!(bench.answers_to(SECOND), [&CallerAnswer::Ended(JobPhase::Succeeded)], "{:?}", bench.log_lines);
+}
+
+// Guards against a resubmission that is started by an entry which has not read yet which others there are.
+#[test]
+fn entry_that_knows_no_list_starts_no_resubmission() {
+    let mut bench = running(3, 4_000);
+    partition(&mut bench, 1, 3);
+    bench.restart_unlisted(1);
+    bench.advance(bench.now() + 500);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 1_500);
+    assert_single_run(&bench);
+}
