--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -1,7 +1,7 @@
 //! Tests of the links between entries, and of what an entry takes from a peer that it has no link with.
 
 use rstest::rstest;
-use vanillacleat_runs::entry::{CallerAnswer, DispatchEvent, JobPhase, PeerEvent};
+use vanillacleat_runs::entry::{CallerAnswer, JobPhase};
 
 mod support;
 use support::peer_bench::PeerBench;
