Entries announce the jobs whose callers may come back

Cause: a submission counted as the first one unless its Deadline-Ms was below the route's timeout. A caller that waits for longer, sends no deadline or the same one again was never recognized, and its job was started beside the first run. The class: a message is taken for the first of its kind because nothing in it says otherwise. Change: each entry reports to its peers, unasked, the jobs that are open 0.8 s after their first submission, in batches every 0.2 s, and all of those to a new peer. A submission of such a job is asked for like any resubmission. The frames are those of before; an entry of an earlier version answers an announcement with a withdrawal, which changes nothing. Jobs that end within 0.7 s cause no frame.

--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -1,5 +1,6 @@
 //! The control state of an entry: event handling, periodic maintenance, draining and the dump for operators.
 
+mod announcing;
 mod answering;
 mod crashes;
 mod homes;
@@ -23,6 +24,7 @@
 use super::caller_api::{CallerAnswer, CallerRequest};
 use super::homes::job_homes::JobHomes;
 use super::homes::peer_registry::{PeerIdentity, PeerRegistry};
+use super::homes::recent_jobs::RecentJobs;
 use super::homes::resume_barrier::ResumeBarrier;
 use super::jobs::job_delay::DelayCause;
 use super::jobs::job_table::JobTable;
@@ -191,6 +193,9 @@
     peer_registry: PeerRegistry,
     job_homes: JobHomes,
     peer_outbox: homes::PeerOutbox,
+    /// The jobs that other entries have announced, and when the own ones were last announced.
+    announced_jobs: RecentJobs,
+    announced_at: MonoTime,
     claims_checked_at: MonoTime,
     /// The own load, as peers receive it, and when it was computed.
     own_load: PeerLoad,
@@ -248,6 +253,8 @@
             peer_registry,
             job_homes: JobHomes::default(),
             peer_outbox: homes::PeerOutbox::default(),
+            announced_jobs: RecentJobs::default(),
+            announced_at: MonoTime::ZERO,
             claims_checked_at: MonoTime::ZERO,
             own_load: PeerLoad::default(),
             load_computed_at: MonoTime::ZERO,
@@ -420,6 +427,7 @@
         self.expire_agents();
         self.expire_late_jobs();
         self.maintain_peers();
+        self.announce_jobs();
         self.job_table.evict_final_phases(self.now);
         self.worker_registry.remove_lost(self.now, LOST_AGENT_AGE_MAX);
     }
--- /dev/null
+++ b/crates/runs/src/entry/dispatch/announcing.rs
@@ -0,0 +1,41 @@
+//! Announcements of open jobs to the other entries.
+//!
+//! Nothing in a request shows reliably that its caller has submitted the job before. Each entry therefore tells its peers the jobs that
+//! are open for so long that their callers may come back, shortly before they can. The announcement is a report that nobody asked for.
+
+use std::time::Duration;
+
+use vanillacleat_control::SessionId;
+use vanillacleat_core::caller_job::CallerJobId;
+use vanillacleat_core::peer_frames::HeldState;
+
+use super::DispatchControl;
+
+/// Interval of the announcements, which bounds the number of frames on each link.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time before the earliest resubmission at which a job is due to be announced: the interval, and as much for the way.
+const ANNOUNCE_LEAD: Duration = Duration::from_millis(500);
+
+impl DispatchControl {
+    /// Announces the jobs that are due.
+    pub(super) fn announce_jobs(&mut self) {
+        if self.now.since(self.announced_at) < ANNOUNCE_INTERVAL || !self.peer_registry.has_links() {
+            return;
+        }
+        self.announced_at = self.now;
+        let age_min = self.options.resubmit_after.saturating_sub(ANNOUNCE_LEAD);
+        let due = self.job_table.take_unannounced(self.now, age_min);
+        let sessions: Vec<SessionId> = self.peer_registry.linked().map(|(session, _)| session).collect();
+        sessions.into_iter().for_each(|session| self.announce_to(session, &due));
+    }
+
+    /// Announces to a new peer the jobs that the others know.
+    pub(super) fn announce_to_new_peer(&mut self, session: SessionId) {
+        let announced: Vec<CallerJobId> = self.job_table.announced_jobs().collect();
+        self.announce_to(session, &announced);
+    }
+
+    fn announce_to(&mut self, session: SessionId, jobs: &[CallerJobId]) {
+        jobs.iter().for_each(|job| self.push_report(session, *job, HeldState::Open));
+    }
+}
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -39,9 +39,9 @@
 
 impl DispatchControl {
     /// Returns whether other entries have to be asked for a job before it is admitted: its caller has submitted it before, and it is not
-    /// known here. First submissions cause no message.
+    /// open here. First submissions cause no message.
     pub(super) fn must_ask(&self, id: &CallerJobId, times: &JobTimes) -> bool {
-        let is_resubmission = times.submitted_at < self.now;
+        let is_resubmission = times.submitted_at < self.now || self.announced_jobs.contains(id);
         is_resubmission && self.job_table.get(id).is_none() && self.peer_registry.may_have_peers()
     }
 
@@ -126,7 +126,7 @@
         }
     }
 
-    fn push_report(&mut self, session: SessionId, job: CallerJobId, state: HeldState) {
+    pub(super) fn push_report(&mut self, session: SessionId, job: CallerJobId, state: HeldState) {
         self.peer_outbox.reports.entry(session).or_default().push(JobReport { job, state });
     }
 
@@ -173,7 +173,7 @@
         let incarnation = link.and_then(|link| link.hello.as_ref()).map(|hello| hello.incarnation);
         let address = link.and_then(PeerLink::address).cloned().unwrap_or_default();
         let Some(claim) = self.job_homes.claim_mut(&id) else {
-            return self.handle_late_report(session, report);
+            return self.handle_unclaimed_report(session, report);
         };
         let Some(known) = claim.peers.get(session) else {
             return;
@@ -197,13 +197,17 @@
         }
     }
 
-    /// Handles a report for a job that is not claimed any more: its callers were answered, or the peer has answered too late and the
-    /// job was placed here. The work of a home that was too late is given up, because it may have stopped meanwhile.
-    fn handle_late_report(&mut self, session: SessionId, report: &JobReport) {
+    /// Handles a report for a job that is not claimed: the peer announces it, or it answers too late. The work of a home that was too late
+    /// is given up, because it may have stopped meanwhile.
+    fn handle_unclaimed_report(&mut self, session: SessionId, report: &JobReport) {
         if report.state != HeldState::Open {
             return;
         }
+        self.announced_jobs.record(self.now, report.job);
         let is_open = self.job_table.get(&report.job).is_some();
+        if !is_open && !self.job_homes.was_claimed(&report.job) {
+            return;
+        }
         self.log(format!("event=job_report_late job={} session={session} open={is_open}", report.job));
         let outbox = if is_open { &mut self.peer_outbox.takeovers } else { &mut self.peer_outbox.withdrawals };
         outbox.entry(session).or_default().push(report.job);
--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -102,6 +102,7 @@
             self.send_peer(session, PeerFrame::Hello(answer));
         }
         self.ask_new_peer(session);
+        self.announce_to_new_peer(session);
         Ok(())
     }
 
--- a/crates/runs/src/entry/homes/job_homes.rs
+++ b/crates/runs/src/entry/homes/job_homes.rs
@@ -16,6 +16,7 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::peer_registry::{PeerRegistry, HOLDING_LEASE};
+use super::recent_jobs::RecentJobs;
 
 /// Maximum number of claims. Resubmissions beyond it are not admitted.
 const CLAIMS_MAX: usize = 4_096;
@@ -143,6 +144,8 @@
     last_remote: u64,
     /// The jobs of which no task is started, because a remote waiter is not confirmed.
     unconfirmed: BTreeSet<CallerJobId>,
+    /// The jobs that were claimed and are no more.
+    former_claims: RecentJobs,
     /// Whether a claim may have changed since this was last taken.
     pub is_changed: bool,
     /// Number of claims so far.
@@ -240,18 +243,24 @@
         let claim = self.claims.get_mut(&id)?;
         claim.waiters.retain(|other| *other != waiter);
         let is_last = claim.waiters.is_empty();
-        Some((id, if is_last { self.claims.remove(&id) } else { None }))
+        Some((id, if is_last { self.take_claim(&id) } else { None }))
     }
 
     /// Removes a claim.
     pub fn take_claim(&mut self, id: &CallerJobId) -> Option<JobClaim> {
         let claim = self.claims.remove(id)?;
+        self.former_claims.record(claim.claimed_at, *id);
         for waiter in &claim.waiters {
             self.claimants.remove(waiter);
         }
         Some(claim)
     }
 
+    /// Returns whether a job was claimed in the last minutes, so that answers for it may still come.
+    pub fn was_claimed(&self, id: &CallerJobId) -> bool {
+        self.former_claims.contains(id)
+    }
+
     /// Adds a remote waiter, or renews the one that the entry already has. Returns its reply id with whether it is new, or `None` if
     /// there are too many.
     pub fn add_remote(&mut self, told_at: MonoTime, session: SessionId, job: CallerJobId) -> Option<(ReplyId, bool)> {
--- a/crates/runs/src/entry/jobs/job_table.rs
+++ b/crates/runs/src/entry/jobs/job_table.rs
@@ -95,6 +95,21 @@
         self.jobs.values()
     }
 
+    /// Returns the open jobs that were submitted `age_min` ago or earlier, except those that it has returned before.
+    pub fn take_unannounced(&mut self, now: MonoTime, age_min: Duration) -> Vec<CallerJobId> {
+        let is_due = |job: &&mut OpenJob| !job.is_announced && now.since(job.times.submitted_at) >= age_min;
+        let due = self.jobs.values_mut().filter(is_due).map(|job| {
+            job.is_announced = true;
+            job.job.id
+        });
+        due.collect()
+    }
+
+    /// Returns the open jobs that [`Self::take_unannounced`] has returned.
+    pub fn announced_jobs(&self) -> impl Iterator<Item = CallerJobId> + '_ {
+        self.jobs.values().filter(|job| job.is_announced).map(|job| job.job.id)
+    }
+
     /// Returns the final phase of a job that has ended, unless it has been evicted.
     pub fn final_phase(&self, id: &CallerJobId) -> Option<JobPhase> {
         self.final_phases.get(id).copied()
--- a/crates/runs/src/entry/jobs/open_job.rs
+++ b/crates/runs/src/entry/jobs/open_job.rs
@@ -85,6 +85,8 @@
     pub last_agent: Option<AgentId>,
     /// When the tasks were sent.
     pub sends: SendRecord,
+    /// Whether the other entries were told of the job.
+    pub is_announced: bool,
 }
 
 impl OpenJob {
@@ -104,6 +106,7 @@
             is_stopping: false,
             last_agent: None,
             sends: SendRecord::default(),
+            is_announced: false,
         }
     }
 
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -1,6 +1,7 @@
 //! Tests of the links between entries, and of what an entry takes from a peer that it has no link with.
 
 use rstest::rstest;
+use vanillacleat_core::peer_frames::PeerFrame;
 use vanillacleat_runs::entry::{CallerAnswer, JobPhase};
 
 mod support;
@@ -193,3 +194,39 @@
     bench.advance(bench.now() + 1_500);
     assert_single_run(&bench);
 }
+
+// Guards against a second submission that is taken for a first one, because its caller waits for as long as the first time.
+#[rstest]
+fn resubmission_that_waits_as_long_as_the_first_is_recognized(#[values(2, 4)] entries: usize) {
+    let mut bench = running(entries, 3_000);
+    bench.submit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 2_000);
+    assert_single_run(&bench);
+    assert_eq!(bench.answers_to(SECOND), [&CallerAnswer::Ended(JobPhase::Succeeded)], "{:?}", bench.log_lines);
+}
+
+// Guards against an announcement that is lost with its link.
+#[rstest]
+fn announced_job_is_known_to_a_peer_that_was_linked_later(#[values(700, 900, 1_100)] reset_at: u64) {
+    let mut bench = PeerBench::new(3, 4);
+    bench.set_run_time(3_000);
+    bench.submit(0, CALLER, FIRST);
+    bench.advance(bench.now() + reset_at);
+    bench.close_links();
+    bench.advance(bench.now() + RESUBMIT_AFTER - reset_at);
+    bench.submit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 2_000);
+    assert_single_run(&bench);
+}
+
+// Guards against messages for jobs whose callers can't come back yet.
+#[test]
+fn short_job_is_not_announced() {
+    let mut bench = PeerBench::new(3, 4);
+    bench.set_run_time(700);
+    bench.peer_frames.clear();
+    (0..6).for_each(|caller| bench.submit(caller as usize % 3, caller, caller));
+    bench.advance(bench.now() + 2_000);
+    let has_reports = bench.peer_frames.iter().any(|(_, _, frame)| matches!(frame, PeerFrame::Reports(_)));
+    assert!(!has_reports, "{:?}", bench.peer_frames);
+}
