An entry that refuses new jobs doesn't say that a resubmitted job has not run

Seen by callers: a job was refused with 503, which says that it has not run and never will, while another entry ran it. Cause: an entry that is strained or about to exit refused a resubmission that it had not asked its peers for. Change: it answers a resubmission with 504.

--- a/crates/runs/src/entry/dispatch/answering.rs
+++ b/crates/runs/src/entry/dispatch/answering.rs
@@ -57,13 +57,9 @@
         if self.join_claim(reply, &id, caller_timeout) {
             return;
         }
-        if self.refuses_new_jobs() && self.job_table.get(&id).is_none() {
-            self.log(format!("event=job_refused job={id} reason=leaving"));
-            return self.refuse(reply, "the entry is leaving", RETRY_AFTER_UNREADY);
-        }
-        if self.load.is_strained() && self.job_table.get(&id).is_none() {
-            self.log(format!("event=job_refused job={id} reason=strained"));
-            return self.refuse(reply, "the entry is overloaded", resubmit_delay(None, id));
+        let is_open = self.job_table.get(&id).is_some();
+        if !is_open && (self.refuses_new_jobs() || self.load.is_strained()) {
+            return self.refuse_submission(reply, id, self.must_ask(&id, route, caller_timeout));
         }
         if let Some(unsupported) = draft.unsupported {
             self.log(format!("event=job_refused job={id} reason={unsupported:?}"));
@@ -79,12 +75,27 @@
         }
         self.worker_registry.add_route(&route.name, |route| self.route_times.ratio(route));
         let times = self.job_times(&job, route, caller_timeout);
-        if self.must_ask(&id, &times) {
+        if !is_open && self.must_ask(&id, route, caller_timeout) {
             return self.ask_peers(reply, Arc::new(job), route, times.abandon_at);
         }
         self.admit_job(reply, Arc::new(job), route, times);
     }
 
+    /// Refuses a submission because this entry is about to exit or is behind. A job that may run at another entry is not refused: that would
+    /// say that it has not run.
+    fn refuse_submission(&mut self, reply: ReplyId, id: CallerJobId, may_run_elsewhere: bool) {
+        let is_leaving = self.refuses_new_jobs();
+        let reason = if is_leaving { "leaving" } else { "strained" };
+        self.log(format!("event=job_refused job={id} reason={reason} may_run_elsewhere={may_run_elsewhere}"));
+        if may_run_elsewhere {
+            self.reply(reply, CallerAnswer::Abandoned("the entry can't ask whether the job runs"));
+        } else if is_leaving {
+            self.refuse(reply, "the entry is leaving", RETRY_AFTER_UNREADY);
+        } else {
+            self.refuse(reply, "the entry is overloaded", resubmit_delay(None, id));
+        }
+    }
+
     /// Admits a job whose home is here, unless it can't start in time.
     pub(super) fn admit_job(&mut self, reply: ReplyId, job: Arc<CallerJob>, route: &Arc<RouteRule>, times: JobTimes) {
         let id = job.id;
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -17,7 +17,7 @@
 use crate::entry::caller_api::{CallerAnswer, JobPhase};
 use crate::entry::homes::job_homes::{ClaimState, JobClaim, PeerAnswer, PeerAnswers, RemoteWaiter};
 use crate::entry::homes::peer_registry::{clock_millis, FrameRefusal, PeerLink, HOLDING_LEASE};
-use crate::entry::order::job_order::{resubmit_delay, JobTimes};
+use crate::entry::order::job_order::{job_age, resubmit_delay};
 use crate::log_fields::format_list;
 
 /// Minimum interval of the frames with queries, which bounds their number when many callers resubmit.
@@ -38,11 +38,12 @@
 }
 
 impl DispatchControl {
-    /// Returns whether other entries have to be asked for a job before it is admitted: its caller has submitted it before, and it is not
-    /// open here. First submissions cause no message.
-    pub(super) fn must_ask(&self, id: &CallerJobId, times: &JobTimes) -> bool {
-        let is_resubmission = times.submitted_at < self.now || self.announced_jobs.contains(id);
-        is_resubmission && self.job_table.get(id).is_none() && self.peer_registry.may_have_peers()
+    /// Returns whether other entries have to be asked for a job before it is admitted, because its caller has submitted it before. First
+    /// submissions cause no message.
+    pub(super) fn must_ask(&self, id: &CallerJobId, route: &RouteRule, caller_timeout: Option<Duration>) -> bool {
+        let age = |timeout| job_age(timeout, route.timeout.to_duration(), self.options.resubmit_after);
+        let is_resubmission = caller_timeout.is_some_and(|timeout| !age(timeout).is_zero()) || self.announced_jobs.contains(id);
+        is_resubmission && self.peer_registry.may_have_peers()
     }
 
     /// Makes a caller wait for a claim that exists. Returns whether there is one.
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use vanillacleat_core::peer_frames::PeerFrame;
-use vanillacleat_runs::entry::{CallerAnswer, JobPhase};
+use vanillacleat_runs::entry::{CallerAnswer, DispatchEvent, JobPhase};
 
 mod support;
 use support::peer_bench::PeerBench;
@@ -230,3 +230,17 @@
     let has_reports = bench.peer_frames.iter().any(|(_, _, frame)| matches!(frame, PeerFrame::Reports(_)));
     assert!(!has_reports, "{:?}", bench.peer_frames);
 }
+
+// Guards against a refusal that says that a job has not run while another entry runs it.
+#[test]
+fn leaving_entry_does_not_say_that_a_resubmitted_job_has_not_run() {
+    let mut bench = running(3, 60_000);
+    bench.deliver(1, DispatchEvent::Drain);
+    bench.advance(bench.now() + 3_000);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 50);
+    assert!(matches!(bench.answers_to(SECOND)[..], [CallerAnswer::Abandoned(_)]), "{:?}", bench.answers);
+    bench.submit(1, CALLER + 1, THIRD);
+    bench.advance(bench.now() + 50);
+    assert!(matches!(bench.answers_to(THIRD)[..], [CallerAnswer::Refused { .. }]), "{:?}", bench.answers);
+}
