A job stops at its home when an entry that waits for it may run it

Seen by callers: two runs of a task at once, after a caller had gone from the entry that runs its job to another one and back during a partition. Cause: the entry that waits may start the job once its lease as a remote waiter and those of the runs have ended. The home stopped the job at the end of that lease only if no caller had come there since. Change: the home stops it unless the same process waits over another link.

--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -142,7 +142,8 @@
             return Some(HeldState::Unknown);
         }
         let told_at = MonoTime::from_elapsed(clock_millis(self.now).to_duration());
-        let (reply, is_new) = self.job_homes.add_remote(told_at, session, id)?;
+        let incarnation = self.peer_registry.get(session)?.hello.as_ref()?.incarnation;
+        let (reply, is_new) = self.job_homes.add_remote(told_at, session, incarnation, id)?;
         let abandon_at = self.now + query.patience.to_duration();
         if !self.job_table.join(&id, reply, abandon_at, is_new) && is_new {
             self.job_homes.add_claimant(&id, reply, abandon_at);
@@ -297,14 +298,15 @@
             return;
         }
         for reply in self.job_homes.renew_remotes(self.now, &self.peer_registry) {
-            let Some(RemoteWaiter { session, job, .. }) = self.job_homes.take_remote(reply) else {
+            let Some(RemoteWaiter { session, incarnation, job, .. }) = self.job_homes.take_remote(reply) else {
                 continue;
             };
-            // The caller has left its earlier connections when it came to the peer. Without this waiter the job may run elsewhere.
-            let is_newest = self.job_table.get(&job).is_some_and(|job| job.waiters.last() == Some(&reply));
-            self.log(format!("event=remote_waiter_expired job={job} session={session} newest={is_newest}"));
+            // Without its lease the entry may run the job itself, unless it waits over another link. The job stops even if a caller has come
+            // here since: that caller submits it again.
+            let has_left = !self.job_homes.has_remote(incarnation, &job);
+            self.log(format!("event=remote_waiter_expired job={job} session={session} last={has_left}"));
             self.handle_disconnected_caller(reply);
-            if is_newest {
+            if has_left {
                 let effects = self.job_table.stop_job(&job);
                 self.apply_effects(effects);
             }
--- a/crates/runs/src/entry/homes/job_homes.rs
+++ b/crates/runs/src/entry/homes/job_homes.rs
@@ -123,6 +123,8 @@
 pub(in crate::entry) struct RemoteWaiter {
     /// The link to the entry.
     pub session: SessionId,
+    /// The entry's process.
+    pub incarnation: Incarnation,
     /// The job.
     pub job: CallerJobId,
     /// When the entry was told that the job is open here.
@@ -263,7 +265,13 @@
 
     /// Adds a remote waiter, or renews the one that the entry already has. Returns its reply id with whether it is new, or `None` if
     /// there are too many.
-    pub fn add_remote(&mut self, told_at: MonoTime, session: SessionId, job: CallerJobId) -> Option<(ReplyId, bool)> {
+    pub fn add_remote(
+        &mut self,
+        told_at: MonoTime,
+        session: SessionId,
+        incarnation: Incarnation,
+        job: CallerJobId,
+    ) -> Option<(ReplyId, bool)> {
         let known = self.remote_replies.get(&(session, job)).copied();
         if known.is_none() && self.remote_waiters.len() >= REMOTE_WAITERS_MAX {
             return None;
@@ -272,7 +280,7 @@
             self.last_remote += 1;
             ReplyId(REMOTE_MARK | self.last_remote)
         });
-        self.remote_waiters.insert(reply, RemoteWaiter { session, job, told_at, leased_from: told_at, is_confirmed: false });
+        self.remote_waiters.insert(reply, RemoteWaiter { session, incarnation, job, told_at, leased_from: told_at, is_confirmed: false });
         self.remote_replies.insert((session, job), reply);
         Some((reply, known.is_none()))
     }
@@ -289,6 +297,11 @@
         Some(waiter)
     }
 
+    /// Returns whether a process waits for a job.
+    pub fn has_remote(&self, incarnation: Incarnation, job: &CallerJobId) -> bool {
+        self.remote_waiters.values().any(|waiter| waiter.incarnation == incarnation && waiter.job == *job)
+    }
+
     /// Renews the leases of remote waiters from what the peers have echoed. Returns those whose leases have ended.
     pub fn renew_remotes(&mut self, now: MonoTime, registry: &PeerRegistry) -> Vec<ReplyId> {
         for waiter in self.remote_waiters.values_mut() {
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -244,3 +244,16 @@
     bench.advance(bench.now() + 50);
     assert!(matches!(bench.answers_to(THIRD)[..], [CallerAnswer::Refused { .. }]), "{:?}", bench.answers);
 }
+
+// Guards against a second run at the entry that waits for a job, whose caller has gone back to the entry that runs it during a partition.
+#[rstest]
+fn caller_that_returns_to_the_home_during_a_partition_gets_no_second_run(#[values(0, 100, 300, 500, 700)] returns_after: u64) {
+    let mut bench = running(2, 60_000);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 300);
+    partition(&mut bench, 0, 2);
+    bench.advance(bench.now() + returns_after);
+    bench.resubmit(0, CALLER, THIRD);
+    bench.advance(bench.now() + 2_500);
+    assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
+}
