--- a/crates/runs/src/entry/dispatch.rs
+++ b/crates/runs/src/entry/dispatch.rs
@@ -1,5 +1,6 @@
 //! The control state of an entry: event handling, periodic maintenance, draining and the dump for operators.
 
+mod announcing;
 mod answering;
 mod crashes;
 mod homes;
@@ -23,6 +24,7 @@
 use super::caller_api::{CallerAnswer, CallerRequest};
 use super::homes::job_homes::JobHomes;
 use super::homes::peer_registry::{PeerIdentity, PeerRegistry};
+use super::homes::recent_jobs::RecentJobs;
 use super::homes::resume_barrier::ResumeBarrier;
 use super::jobs::job_delay::DelayCause;
 use super::jobs::job_table::JobTable;
@@ -191,12 +193,19 @@
     peer_registry: PeerRegistry,
     job_homes: JobHomes,
     peer_outbox: homes::PeerOutbox,
+    /// The jobs that other entries have announced, and when the own ones were last announced.
+    announced_jobs: RecentJobs,
+    announced_at: MonoTime,
     claims_checked_at: MonoTime,
     /// The own load, as peers receive it, and when it was computed.
     own_load: PeerLoad,
     load_computed_at: MonoTime,
     /// Number of frames of peers that were refused.
     refused_peer_frames: u64,
+    /// Number of links to peers that were lost after their hello.
+    lost_peers: u64,
+    /// Number of questions about jobs whose link was lost before the answer.
+    lost_questions: u64,
     /// Number of the last order to start a run.
     last_order: u64,
     /// Orders that the current event has produced, by session.
@@ -244,10 +253,14 @@
             peer_registry,
             job_homes: JobHomes::default(),
             peer_outbox: homes::PeerOutbox::default(),
+            announced_jobs: RecentJobs::default(),
+            announced_at: MonoTime::ZERO,
             claims_checked_at: MonoTime::ZERO,
             own_load: PeerLoad::default(),
             load_computed_at: MonoTime::ZERO,
             refused_peer_frames: 0,
+            lost_peers: 0,
+            lost_questions: 0,
             last_order: 0,
             pending_orders: BTreeMap::new(),
             pending_echoes: BTreeMap::new(),
@@ -414,6 +427,7 @@
         self.expire_agents();
         self.expire_late_jobs();
         self.maintain_peers();
+        self.announce_jobs();
         self.job_table.evict_final_phases(self.now);
         self.worker_registry.remove_lost(self.now, LOST_AGENT_AGE_MAX);
     }
