Times beyond the range of the clock are the latest time

Cause: MonoTime multiplied milliseconds and cut durations to 64 bits without a check. An order whose lease began at u64::MAX ms ended the control thread of an agent with overflow checks, and wrapped around without them; durations of callers and operators such as 2^61 ms wrapped around to zero, so that a caller with endless patience counted as one without any. Change: readings and sums beyond the range are the latest reading. Result: time_bounds (4 of 4 cases) and agent_extremes::orders_beyond_all_bounds_are_handled failed before ("attempt to multiply with overflow", units.rs:24) and pass. The other cases of agent_extremes and the new ones of extreme_values (numbers of tasks, routes, speeds, ends) passed before. cargo test -p vanillacleat-core -p vanillacleat-runs, debug build with overflow checks: all pass.

--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -11,7 +11,8 @@
 
 /// A reading of a process's monotonic clock, in microseconds since the process started.
 ///
-/// Readings of different processes are never compared.
+/// Readings of different processes are never compared. Sums beyond the range give the latest reading, since the durations of
+/// callers, operators and other processes are not bounded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MonoTime(u64);
 
@@ -21,12 +22,12 @@
 
     /// Returns the reading `millis` milliseconds after the start of the process.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Returns the reading `elapsed` after the start of the process.
     pub fn from_elapsed(elapsed: Duration) -> Self {
-        Self(elapsed.as_micros() as u64)
+        Self(whole_micros(elapsed))
     }
 
     /// Returns the microseconds since the start of the process.
@@ -41,15 +42,20 @@
 
     /// Returns the reading `age` before this one, but not before the start of the process.
     pub fn before(self, age: Duration) -> Self {
-        Self(self.0.saturating_sub(age.as_micros() as u64))
+        Self(self.0.saturating_sub(whole_micros(age)))
     }
 }
 
+/// Returns a duration in whole microseconds, at most the largest number of them.
+fn whole_micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Add<Duration> for MonoTime {
     type Output = Self;
 
     fn add(self, duration: Duration) -> Self {
-        Self(self.0.saturating_add(duration.as_micros() as u64))
+        Self(self.0.saturating_add(whole_micros(duration)))
     }
 }
 
@@ -130,6 +136,6 @@
 
     /// Returns `duration` rounded down to whole milliseconds.
     pub fn from_duration(duration: Duration) -> Self {
-        Self(duration.as_millis() as u64)
+        Self(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
     }
 }
--- a/crates/runs/tests/extreme_values.rs
+++ b/crates/runs/tests/extreme_values.rs
@@ -9,9 +9,10 @@
 use vanillacleat_core::caller_job::{CallerJobId, JobStep, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
 use vanillacleat_core::run_frames::{
-    CrashStage, CrashedRun, OrderId, RunFrame, RunHello, RunProgress, RunReport, SessionOrder, WorkerInfo,
+    CrashStage, CrashedRun, EndEvidence, OrderId, RouteSpeed, RunEnd, RunFrame, RunHello, RunOutcome, RunProgress, RunReport, SessionOrder,
+    WorkerInfo,
 };
-use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
+use vanillacleat_core::units::{Megabytes, Millis, MonoTime, Revision};
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchAction, DispatchControl, DispatchEvent, RequestKind};
 
 mod support;
@@ -78,6 +79,45 @@
     entry.handle(MonoTime::from_millis(2_000), DispatchEvent::Tick);
 }
 
+// Guards against a caller whose numbers of tasks end the entry.
+#[rstest]
+fn number_of_tasks_at_its_bounds_is_answered(#[values(0, 1, 2_000, u16::MAX)] count: u16, #[values(0, 1, u32::MAX)] per_worker_max: u32) {
+    let mut entry = started_entry(160);
+    let mut request = CallerState::new(1, 2, 100).request();
+    if let RequestKind::Submit(draft) = &mut request.kind {
+        draft.steps[0].count = count;
+        draft.steps[0].per_worker_max = per_worker_max;
+        draft.steps.push(JobStep { after: vec![0, u16::MAX], ..draft.steps[0].clone() });
+        draft.steps.push(JobStep { after: vec![2], ..draft.steps[0].clone() });
+    }
+    let answers = submit(&mut entry, 1, request);
+    assert!(matches!(answers[..], [CallerAnswer::Malformed(_)]), "{answers:?}");
+    entry.handle(MonoTime::from_millis(2_000), DispatchEvent::Tick);
+}
+
+// Guards against an operator whose figures end the entry, or make a caller's job late from the start.
+#[rstest]
+fn route_beyond_all_bounds_is_served(#[values(0, 1 << 61, u64::MAX)] millis: u64, #[values(0, u32::MAX)] number: u32) {
+    let mut entry = started_entry(160);
+    let mut plan = make_plan(2);
+    let table = Arc::make_mut(plan.table.as_mut().expect("the plan has routes"));
+    let route = Arc::make_mut(&mut table.routes[0]);
+    (route.timeout, route.target_latency) = (Millis(millis), Millis(millis));
+    (route.slack_percent, route.priority, route.attempts_max) = (number, number, number);
+    (table.version, table.body_bytes_max, plan.zones_revision) = (Revision(u64::MAX), u64::MAX, u64::MAX);
+    entry.handle(MonoTime::from_millis(1), DispatchEvent::PlanRead(plan));
+    open_session(&mut entry);
+    for (job, timeout) in [(1, None), (2, Some(Duration::from_secs(2))), (3, Some(Duration::from_millis(1 << 61)))] {
+        let mut request = CallerState::new(1, job, 100).request();
+        request.caller_timeout = timeout;
+        submit(&mut entry, job.into(), request);
+    }
+    for at in [20, 500, 2_500] {
+        entry.handle(MonoTime::from_millis(at), DispatchEvent::Tick);
+    }
+    entry.dump();
+}
+
 // Guards against a report whose figures end the entry.
 #[test]
 fn report_beyond_all_bounds_is_handled() {
@@ -86,13 +126,15 @@
     let mut request = CallerState::new(1, 1, 100).request();
     request.caller_timeout = Some(Duration::from_secs(2));
     let run = RunId { task: TaskId { job: CallerState::new(1, 1, 100).id, step: u16::MAX, index: u16::MAX }, run: u32::MAX };
+    let speed = |percent, runs| RouteSpeed { route: "bids".into(), typical_percent: percent, high_percent: percent, runs };
+    let amount_max = ResourceAmount { millicores: u64::MAX, memory: Megabytes(u64::MAX), accelerators: u32::MAX };
     let report = RunReport {
         sent_at: Millis(u64::MAX),
         entries: u32::MAX,
         worker: Some(WorkerInfo {
             worker: "i-1".into(),
             service: "desk".parse().expect("a valid name"),
-            capacity: ResourceAmount { millicores: u64::MAX, memory: Megabytes(u64::MAX), accelerators: u32::MAX },
+            capacity: amount_max,
             labels: Vec::new(),
             is_ready: true,
             cold: Millis(u64::MAX),
@@ -104,6 +146,18 @@
             percent: u8::MAX,
             elapsed: Millis(u64::MAX),
         }],
+        speeds: [0, 1, u32::MAX].map(|runs| speed(u32::MAX, runs)).into_iter().chain([speed(0, u32::MAX)]).collect(),
+        slowness_percent: u32::MAX,
+        ends: vec![RunEnd {
+            run,
+            order: OrderId { entry: Incarnation(1), number: u64::MAX },
+            outcome: RunOutcome::Done,
+            ran: Millis(u64::MAX),
+            evidence: EndEvidence { age: Some(Millis(u64::MAX)), lease_left: Millis(u64::MAX), ..EndEvidence::default() },
+        }],
+        used: amount_max,
+        used_by_entry: amount_max,
+        plan_version: u64::MAX,
         ..RunReport::default()
     };
     for at in [3, 4, 500, 2_000] {
