--- a/crates/runs/src/agent/calls.rs
+++ b/crates/runs/src/agent/calls.rs
@@ -120,7 +120,7 @@
 }
 
 /// The running and ended runs that a worker lists in its reply to a lease poll.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunList {
     /// Start of the worker's incarnation, in Unix milliseconds; zero if the worker does not report it.
     pub born: u64,
@@ -130,6 +130,14 @@
     pub running: Vec<RunningTask>,
     /// The runs that ended after the acknowledged number, oldest first.
     pub ended: Vec<EndedRun>,
+    /// Whether `running` names all runs that are running. Otherwise a run that it doesn't name may be running.
+    pub is_complete: bool,
+}
+
+impl Default for RunList {
+    fn default() -> Self {
+        Self { born: 0, clock: 0, running: Vec::new(), ended: Vec::new(), is_complete: true }
+    }
 }
 
 /// A run that is running at the worker.
--- a/crates/runs/src/agent/runner/lease_polls.rs
+++ b/crates/runs/src/agent/runner/lease_polls.rs
@@ -208,11 +208,16 @@
             }
         }
         self.record_run_progress();
-        if unknown_runs.is_empty() {
+        if !list.is_complete {
+            // A run that is not named may be a stranger. Unless the worker is settled, no lease is renewed until it is gone.
+            self.polls.due_at = self.now + SHORT_POLL_WAIT;
+        } else if unknown_runs.is_empty() {
             if let Some(incarnation) = self.incarnation.as_mut().filter(|incarnation| !incarnation.is_settled) {
                 incarnation.is_settled = true;
                 self.log(format!("event=worker_settled observed={}", list.ended.len()));
             }
+        }
+        if unknown_runs.is_empty() {
             return;
         }
         let (count, listed) = (unknown_runs.len(), format_list(&unknown_runs));
@@ -222,17 +227,22 @@
     }
 
     /// Ends runs that are missing from the list of a poll sent at `sent_at`. This applies only to runs that the worker
-    /// had confirmed as running by then, or whose stop it had accepted.
+    /// had confirmed as running by then, or whose stop it had accepted. If the list is not complete, it applies only to runs whose stop
+    /// must have taken effect.
     fn finish_unlisted(&mut self, sent_at: MonoTime, list: &RunList) {
+        let stop_time = self.options.lease_terms.stop_timeout * 2;
+        let is_stopped = |accepted_at: MonoTime| accepted_at <= sent_at && (list.is_complete || sent_at.since(accepted_at) >= stop_time);
         let is_listed = |run: &RunId| list.running.iter().any(|task| task.run == *run);
         let mut unlisted = Vec::new();
         for (run, record) in self.runs.iter() {
             let (outcome, sign) = match record.state {
-                RunState::Running { .. } if record.confirmed_at.is_some_and(|at| at < sent_at) => (RunOutcome::Lost, EndSign::Unlisted),
-                RunState::Stopping { taken_at: Some(at), .. } if record.is_held && at <= sent_at => {
+                RunState::Running { .. } if list.is_complete && record.confirmed_at.is_some_and(|at| at < sent_at) => {
+                    (RunOutcome::Lost, EndSign::Unlisted)
+                }
+                RunState::Stopping { taken_at: Some(at), .. } if record.is_held && list.is_complete && at <= sent_at => {
                     (RunOutcome::Lost, EndSign::FencedUnlisted)
                 }
-                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if at <= sent_at => {
+                RunState::Stopping { taken_at: Some(at), is_unanswered, .. } if !record.is_held && is_stopped(at) => {
                     let is_outdated = record.stop_cause == Some(StopCause::Outdated);
                     let sign = if is_outdated { EndSign::OutdatedUnlisted } else { EndSign::StopConfirmed };
                     (if is_unanswered { RunOutcome::Unanswered } else { RunOutcome::Stopped }, sign)
--- a/crates/runs/tests/agent_extremes.rs
+++ b/crates/runs/tests/agent_extremes.rs
@@ -96,6 +96,7 @@
             clock,
             running: vec![RunningTask { run: run(9, 1), percent: u8::MAX }, RunningTask { run: run(7, u32::MAX), percent: 0 }],
             ended: vec![EndedRun { number: u64::MAX, run: Some(run(8, 0)), outcome: RunOutcome::Lost }],
+            ..RunList::default()
         };
         let incarnation_number = bench.last_sent().incarnation_number;
         for number in 0..20 {
--- a/crates/runs/tests/log_lines.rs
+++ b/crates/runs/tests/log_lines.rs
@@ -102,7 +102,7 @@
     fn answer_poll(&mut self, at: u64, running: &[RunId], ended: &[(u64, RunId)]) {
         let running = running.iter().map(|run| RunningTask { run: *run, percent: 10 }).collect();
         let ended = ended.iter().map(|(number, run)| EndedRun { number: *number, run: Some(*run), outcome: RunOutcome::Done }).collect();
-        let list = RunList { born: 1, clock: 50_000 + at, running, ended };
+        let list = RunList { born: 1, clock: 50_000 + at, running, ended, ..RunList::default() };
         self.reply(at, WorkerReply::LeasePoll(self.last_poll, LeasePollReply::Runs(list)));
     }
 }
--- a/crates/runs/tests/overloaded_entry.rs
+++ b/crates/runs/tests/overloaded_entry.rs
@@ -67,7 +67,7 @@
             leaves_in: None,
         };
         harness.deliver(1, RunnerEvent::WorkerHeartbeat(notice));
-        let list = RunList { born: 1, clock: 50_000, running: Vec::new(), ended: Vec::new() };
+        let list = RunList { born: 1, clock: 50_000, ..RunList::default() };
         let reply = WorkerReply::LeasePoll(1, LeasePollReply::Runs(list));
         harness.deliver(2, RunnerEvent::Replied { incarnation_number: harness.incarnation, reply });
         harness.deliver(3, RunnerEvent::SessionOpened { session: SESSION, address: SmolStr::new_static("entry") });
--- a/crates/runs/tests/worker_calls.rs
+++ b/crates/runs/tests/worker_calls.rs
@@ -6,7 +6,7 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::{CallerJobId, ResourceAmount, RunId, TaskId};
 use vanillacleat_core::ids::Incarnation;
-use vanillacleat_core::run_frames::{OrderFrame, OrderId, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
+use vanillacleat_core::run_frames::{OrderFrame, OrderId, OrderedRun, RunEnd, RunFrame, RunOrders, RunOutcome, RunStart};
 use vanillacleat_core::units::{Megabytes, Millis, MonoTime};
 use vanillacleat_runs::agent::{
     EndedRun, LeasePollReply, RunList, RunnerAction, RunnerControl, RunnerEvent, RunnerOptions, RunningTask, StartRejection, StartReply,
@@ -91,9 +91,13 @@
 
     /// Delivers the worker's answer to a lease poll, with its lists of runs.
     fn answer_lease_poll(&mut self, at: u64, poll: u64, running: &[RunId], ended: &[(u64, RunOutcome)]) {
-        let running = running.iter().map(|run| RunningTask { run: *run, percent: 10 }).collect();
         let ended = ended.iter().map(|(number, outcome)| EndedRun { number: *number, run: Some(RUN), outcome: *outcome }).collect();
-        let list = RunList { born: 1, clock: 50_000 + at, running, ended };
+        self.answer_with_list(at, poll, RunList { running: list_runs(running), ended, ..RunList::default() });
+    }
+
+    /// Delivers the worker's answer to a lease poll, with lists of which the clock and the start are set.
+    fn answer_with_list(&mut self, at: u64, poll: u64, list: RunList) {
+        let list = RunList { born: 1, clock: 50_000 + at, ..list };
         let reply = WorkerReply::LeasePoll(poll, LeasePollReply::Runs(list));
         self.deliver(at, RunnerEvent::Replied { incarnation_number: self.incarnation, reply });
     }
@@ -121,6 +125,10 @@
     }
 }
 
+fn list_runs(runs: &[RunId]) -> Vec<RunningTask> {
+    runs.iter().map(|run| RunningTask { run: *run, percent: 10 }).collect()
+}
+
 fn notice(born: u64) -> WorkerNotice {
     WorkerNotice {
         worker: SmolStr::new_static("i-1"),
@@ -220,7 +228,7 @@
     harness.order_start(10);
     harness.answer_start(12, StartReply::Started(50_012));
     harness.deliver(14, RunnerEvent::WorkerHeartbeat(notice(2)));
-    let list = RunList { born: 2, clock: 60_020, running: Vec::new(), ended: Vec::new() };
+    let list = RunList { born: 2, clock: 60_020, ..RunList::default() };
     // The new incarnation confirms its heartbeat.
     harness.deliver(
         15,
@@ -248,3 +256,63 @@
     );
     assert_eq!(harness.outcomes(), vec![RunOutcome::Stopped]);
 }
+
+/// Returns a list of running runs of which a row could not be read.
+fn incomplete_list(running: &[RunId]) -> RunList {
+    RunList { running: list_runs(running), is_complete: false, ..RunList::default() }
+}
+
+// Guards against a run that is placed again while it is running, because the row of the list that names it is malformed.
+#[test]
+fn run_that_an_incomplete_list_does_not_name_is_not_lost() {
+    let mut harness = AgentHarness::new();
+    harness.order_start(10);
+    harness.answer_start(12, StartReply::Started(50_012));
+    harness.answer_lease_poll(60, harness.last_poll(), &[RUN], &[]);
+    harness.answer_with_list(90, harness.last_poll(), incomplete_list(&[]));
+    assert_eq!(harness.outcomes(), vec![]);
+    harness.deliver(140, RunnerEvent::Tick);
+    harness.answer_lease_poll(145, harness.last_poll(), &[], &[]);
+    harness.deliver(146, RunnerEvent::Tick);
+    assert_eq!(harness.outcomes(), vec![RunOutcome::Lost]);
+}
+
+// Guards against a stop that never ends, because a malformed row stays in the list.
+#[test]
+fn stopped_run_that_incomplete_lists_do_not_name_ends_after_the_stop_timeout() {
+    let mut harness = AgentHarness::new();
+    harness.order_start(10);
+    harness.answer_start(12, StartReply::Started(50_012));
+    harness.answer_lease_poll(60, harness.last_poll(), &[RUN], &[]);
+    harness.renew_lease(61);
+    let stops = RunOrders { leased_from: harness.reported_at, stops: vec![OrderedRun { run: RUN, order: ORDER }], ..RunOrders::default() };
+    harness.deliver(62, RunnerEvent::Frame { session: SESSION, frame: OrderFrame::Orders(stops) });
+    let stop = WorkerReply::Stop(RUN, StopReply::Accepted(50_063));
+    harness.deliver(63, RunnerEvent::Replied { incarnation_number: harness.incarnation, reply: stop });
+    let stop_time = LeaseTerms::default().stop_timeout.as_millis() as u64;
+    let mut ended_at = None;
+    for at in (70..2_000).step_by(5) {
+        harness.deliver(at, RunnerEvent::Tick);
+        harness.answer_with_list(at + 1, harness.last_poll(), incomplete_list(&[]));
+        ended_at = ended_at.or((!harness.ends.is_empty()).then_some(at));
+    }
+    assert_eq!(harness.outcomes(), vec![RunOutcome::Stopped]);
+    assert!(ended_at.is_some_and(|at| at > 63 + stop_time), "{ended_at:?}");
+}
+
+// Guards against a start at a worker that may be running what the agent doesn't know.
+#[test]
+fn worker_with_an_incomplete_list_is_not_settled() {
+    let mut harness = AgentHarness::new();
+    harness.deliver(10, RunnerEvent::WorkerHeartbeat(notice(2)));
+    let list = |is_complete| RunList { born: 2, clock: 60_020, is_complete, ..RunList::default() };
+    for (at, is_complete) in [(12, false), (60, false), (120, true), (180, true)] {
+        let reply = WorkerReply::LeasePoll(harness.last_poll(), LeasePollReply::Runs(list(is_complete)));
+        harness.deliver(at, RunnerEvent::Replied { incarnation_number: harness.incarnation, reply });
+        harness.renew_lease(at + 1);
+        harness.order_start(at + 2);
+        harness.deliver(at + 30, RunnerEvent::Tick);
+        assert!(is_complete || harness.start_calls() == 0, "a start at {at} ms");
+    }
+    assert!(harness.start_calls() > 0);
+}
--- a/crates/standin/src/worker_model.rs
+++ b/crates/standin/src/worker_model.rs
@@ -207,7 +207,7 @@
         let slowness = self.slowness;
         let running = self.running.iter().map(|(run, state)| RunningTask { run: *run, percent: compute_percent(now, slowness, state) });
         let ended = self.ended.iter().map(|(_, end)| *end).collect();
-        LeasePollReply::Runs(RunList { born: self.born, clock: self.clock(now), running: running.collect(), ended })
+        LeasePollReply::Runs(RunList { born: self.born, clock: self.clock(now), running: running.collect(), ended, is_complete: true })
     }
 
     /// Extends the lease to `lease_end`, or to `lease_max` after `now` if that is earlier. Never shortens it.
