Entries that can not be reached keep no place from those that can

Cause: an agent dials at most 24 entries, and failing ones counted in that limit before reachable ones of a lower rank. An entry that was no longer selected was forgotten as failing and selected again. With a dozen entries of another writer in one zone, whose hosts claim a large capacity, an agent opened no session with the real entries of that zone, however long it tried; with a dozen near and a dozen far, none at all would be left. Change: within the limit, entries that do not fail come first. The others share what is left of it; each is dialed for five seconds in turn. An entry counts as failing until a session with it opens, whether or not it is selected. As long as the limit suffices, the selection is as before.

--- a/crates/runs/src/agent/entry_selection.rs
+++ b/crates/runs/src/agent/entry_selection.rs
@@ -13,6 +13,7 @@
 use vanillacleat_control::agent::EntryDialer;
 use vanillacleat_core::ids::{AgentId, ZoneName};
 use vanillacleat_core::run_frames::EntryRecord;
+use vanillacleat_core::units::MonoTime;
 
 /// Initial delay between two dials of an entry.
 const REDIAL_MIN: Duration = Duration::from_millis(100);
@@ -23,6 +24,8 @@
 const REDIALS_WITHOUT_BACKOFF: u32 = 8;
 /// Number of consecutive failed dials from which an entry doesn't count as selected, so that another one is selected as well.
 const FAILED_DIALS_MAX: u32 = 3;
+/// Time for which a failing entry is dialed while other failing ones wait for its place.
+const FAILING_DIAL_TIME: Duration = Duration::from_secs(5);
 /// Weight of an entry whose host's capacity is unknown, in millicores.
 const DEFAULT_MILLICORES: u64 = 250;
 
@@ -50,8 +53,9 @@
     pub address: SmolStr,
     /// Whether the entry is in the agent's zone.
     pub is_local: bool,
-    /// Whether the last dials of the entry failed.
-    pub is_failing: bool,
+    /// Since when the entry counts as failing; absent if its last dials didn't fail. Of two failing ones, the one with the earlier time is
+    /// dialed first.
+    pub failing_since: Option<MonoTime>,
     /// The entry's rank for this agent; higher ones are selected first.
     pub score: f64,
 }
@@ -61,7 +65,7 @@
     pub fn new(agent: &AgentId, zone: &ZoneName, record: &EntryRecord) -> Self {
         let is_local = record.zone.as_ref() == Some(zone);
         let score = rendezvous_score(agent, &record.address, record.millicores);
-        Self { address: record.address.clone(), is_local, is_failing: false, score }
+        Self { address: record.address.clone(), is_local, failing_since: None, score }
     }
 }
 
@@ -77,11 +81,11 @@
 }
 
 /// Returns the addresses of the entries to keep sessions with. Entries that fail to be reached don't count towards the limits
-/// but for that on dialed ones, so that others replace them for as long as they fail.
+/// but for that on dialed ones, so that others replace them for as long as they fail. Within that limit, the others come first.
 pub fn select_entries(mut candidates: Vec<EntryCandidate>, limits: &SelectionLimits) -> BTreeSet<SmolStr> {
     candidates.sort_by(|one, other| other.score.total_cmp(&one.score));
     let (local, remote): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|candidate| candidate.is_local);
-    let remote_reachable = remote.iter().filter(|candidate| !candidate.is_failing).count();
+    let remote_reachable = remote.iter().filter(|candidate| candidate.failing_since.is_none()).count();
     let local_max = limits.local.max(limits.total.saturating_sub(remote_reachable));
     let mut selected = BTreeSet::new();
     let local_taken = take_reachable(&local, local_max, limits.dialed / 2, &mut selected);
@@ -90,17 +94,24 @@
     selected
 }
 
-/// Selects the first candidates until `reachable_max` of them are reachable or `dialed_max` are selected. Returns the number of
-/// reachable ones.
+/// Selects the first `reachable_max` candidates that are reachable, and the failing ones that rank above the last of them, up to
+/// `dialed_max` in total. Returns the number of reachable ones.
 fn take_reachable(candidates: &[EntryCandidate], reachable_max: usize, dialed_max: usize, selected: &mut BTreeSet<SmolStr>) -> usize {
-    let mut reachable = 0;
-    for candidate in candidates.iter().take(dialed_max) {
-        if reachable >= reachable_max {
+    let (mut reachable, mut failing) = (0, Vec::new());
+    for candidate in candidates {
+        if reachable >= reachable_max.min(dialed_max) {
             break;
         }
-        reachable += usize::from(!candidate.is_failing);
-        selected.insert(candidate.address.clone());
+        if let Some(since) = candidate.failing_since {
+            failing.push((since, &candidate.address));
+        } else {
+            reachable += 1;
+            selected.insert(candidate.address.clone());
+        }
     }
+    // The sort is stable: failing ones of the same time keep their rank.
+    failing.sort_by_key(|(since, _)| *since);
+    selected.extend(failing.into_iter().take(dialed_max - reachable).map(|(_, address)| address.clone()));
     reachable
 }
 
@@ -126,7 +137,7 @@
             Self { agent, zone, limits: SelectionLimits::default(), known: BTreeMap::new(), listed: BTreeSet::new(), dialer };
         selection
             .add_entries(addresses.iter().map(|address| EntryRecord { address: address.clone(), zone: None, millicores: 0 }).collect());
-        selection.update();
+        selection.update(MonoTime::ZERO);
         selection
     }
 
@@ -138,18 +149,33 @@
         }
         for entry in entries {
             if entry.zone.is_some() || !self.known.contains_key(&entry.address) {
-                self.known.insert(entry.address.clone(), EntryCandidate::new(&self.agent, &self.zone, &entry));
+                let failing_since = self.known.get(&entry.address).and_then(|known| known.failing_since);
+                let candidate = EntryCandidate { failing_since, ..EntryCandidate::new(&self.agent, &self.zone, &entry) };
+                self.known.insert(entry.address.clone(), candidate);
             }
         }
     }
 
+    /// Records that a session with the entry at `address` is open.
+    pub fn record_connected(&mut self, address: &SmolStr) {
+        self.dialer.record_connected(address);
+        if let Some(known) = self.known.get_mut(address) {
+            known.failing_since = None;
+        }
+    }
+
     /// Selects the entries again, from those that are known and from the outcome of the last dials.
-    pub fn update(&mut self) {
+    pub fn update(&mut self, now: MonoTime) {
         let (dialer, listed) = (&self.dialer, &self.listed);
-        let is_failing = |address: &SmolStr| dialer.failed_dials(address) >= FAILED_DIALS_MAX;
-        self.known.retain(|address, _| listed.is_empty() || listed.contains(address) || !is_failing(address));
-        let candidates = self.known.values().map(|known| EntryCandidate { is_failing: is_failing(&known.address), ..known.clone() });
-        let selected = select_entries(candidates.collect(), &self.limits);
+        for (address, known) in &mut self.known {
+            let has_failed = dialer.failed_dials(address) >= FAILED_DIALS_MAX;
+            let is_due = known.failing_since.is_none_or(|since| now.since(since) >= FAILING_DIAL_TIME);
+            if has_failed && is_due {
+                known.failing_since = Some(now);
+            }
+        }
+        self.known.retain(|address, known| listed.is_empty() || listed.contains(address) || known.failing_since.is_none());
+        let selected = select_entries(self.known.values().cloned().collect(), &self.limits);
         self.dialer.retain_addresses(|address| selected.contains(address));
         selected.into_iter().for_each(|address| self.dialer.add_address(address));
     }
--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -31,7 +31,7 @@
     /// Introduces the agent to an entry, unless another session with it is open. The entry uses only the session that was introduced
     /// last, and ends the runs that its hello doesn't list.
     pub(super) fn handle_session_opened(&mut self, session: SessionId, address: SmolStr) {
-        self.selection.dialer.record_connected(&address);
+        self.selection.record_connected(&address);
         if self.has_session_with(&address) {
             self.log(format!("event=session_surplus entry={address} session={session}"));
             return self.actions.push(RunnerAction::Close(session));
@@ -206,12 +206,12 @@
     /// its runs is left.
     pub(super) fn update_selection(&mut self) {
         self.next_selection_at = self.now + SELECTION_INTERVAL;
-        self.selection.update();
+        self.selection.update(self.now);
         let mut retired = Vec::new();
         for (session, lease) in &mut self.sessions {
             lease.is_retiring = !self.selection.dialer.is_known(&lease.address);
             // An entry that is selected again while its session is still open must not be dialed.
-            self.selection.dialer.record_connected(&lease.address);
+            self.selection.record_connected(&lease.address);
             let is_idle = lease.ends.is_empty() && !self.runs.iter().any(|(_, record)| record.is_owned_by(*session));
             // The entry has answered the report that the agent is closed. A start that it sent before is usually here by now;
             // the run of one that is not is placed again once the lease of the session has ended.
--- a/crates/runs/tests/entry_selection.rs
+++ b/crates/runs/tests/entry_selection.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use vanillacleat_core::ids::{AgentId, ZoneName};
 use vanillacleat_core::run_frames::EntryRecord;
+use vanillacleat_core::units::MonoTime;
 use vanillacleat_runs::agent::{select_entries, EntryCandidate, SelectionLimits};
 
 const ZONES: usize = 5;
@@ -37,7 +38,7 @@
 fn select(agent: &AgentId, zone: &ZoneName, entries: &[EntryRecord], failing: &BTreeSet<SmolStr>) -> BTreeSet<SmolStr> {
     let candidates = entries.iter().map(|entry| {
         let candidate = EntryCandidate::new(agent, zone, entry);
-        EntryCandidate { is_failing: failing.contains(&entry.address), ..candidate }
+        EntryCandidate { failing_since: failing.contains(&entry.address).then_some(MonoTime::ZERO), ..candidate }
     });
     select_entries(candidates.collect(), &SelectionLimits::default())
 }
