A late heartbeat brings no worker back that has left

Cause: the agent forgot the sequence number and the notice of an incarnation that it had lost. A worker that has deregistered goes on serving for a while; a heartbeat from before its notice that was delivered in that time began the incarnation again as ready, and the agent started runs there. Change: heartbeats of the lost incarnation that are older than its last one are ignored, after a deregistration also the last one itself. One that was draining is not ready again.

--- a/crates/runs/src/agent/runner/incarnations.rs
+++ b/crates/runs/src/agent/runner/incarnations.rs
@@ -26,12 +26,29 @@
     worker: SmolStr,
     born: u64,
     lost_at: MonoTime,
+    /// Sequence number of its last heartbeat.
+    sequence: u64,
+    /// Whether it was draining. It never becomes ready again.
+    was_draining: bool,
+    /// Whether it had deregistered and sent no heartbeat since.
+    was_leaving: bool,
+}
+
+impl LostIncarnation {
+    fn matches(&self, notice: &WorkerNotice) -> bool {
+        self.worker == notice.worker && self.born == notice.born
+    }
+
+    /// Returns whether a heartbeat of this incarnation was sent before it was lost.
+    fn is_outdated(&self, notice: &WorkerNotice) -> bool {
+        notice.sequence < self.sequence || (self.was_leaving && notice.sequence == self.sequence)
+    }
 }
 
 impl RunnerControl {
     pub(super) fn handle_heartbeat(&mut self, notice: WorkerNotice) {
         match &mut self.incarnation {
-            None => self.begin_incarnation(notice),
+            None => self.find_incarnation(notice),
             Some(incarnation) if incarnation.matches(&notice) => {
                 incarnation.update(notice);
                 self.successor = None;
@@ -40,6 +57,20 @@
         }
     }
 
+    /// Begins the incarnation of a heartbeat, unless it is the one that was lost and the heartbeat was delayed.
+    fn find_incarnation(&mut self, notice: WorkerNotice) {
+        let Some(lost) = self.lost_incarnation.as_ref().filter(|lost| lost.matches(&notice)) else {
+            return self.begin_incarnation(notice);
+        };
+        if lost.is_outdated(&notice) {
+            let WorkerNotice { worker, born, sequence, .. } = notice;
+            let line = format!("event=heartbeat_outdated worker={worker} born={born} heartbeat={sequence} known={}", lost.sequence);
+            return self.log(line);
+        }
+        let is_ready = notice.is_ready && !lost.was_draining;
+        self.begin_incarnation(WorkerNotice { is_ready, ..notice });
+    }
+
     /// Asks the worker whether the incarnation of a heartbeat is the one at its address.
     pub(super) fn probe_successor(&mut self) {
         let (Some(successor), Some(incarnation)) = (&self.successor, &self.incarnation) else {
@@ -138,7 +169,7 @@
     fn log_worker_found(&mut self, notice: &WorkerNotice) {
         let WorkerNotice { worker, born, is_ready, sequence, .. } = notice;
         let lost = self.lost_incarnation.as_ref();
-        let is_same = lost.is_some_and(|lost| lost.worker == *worker && lost.born == *born);
+        let is_same = lost.is_some_and(|lost| lost.matches(notice));
         let lost_ms = format_age(lost.map(|lost| self.now.since(lost.lost_at)));
         self.log(format!(
             "event=worker_found worker={worker} born={born} ready={is_ready} heartbeat={sequence} same={is_same} lost_ms={lost_ms}"
@@ -152,7 +183,8 @@
         let Some(incarnation) = self.incarnation.take() else {
             return;
         };
-        let WorkerNotice { worker, born, .. } = incarnation.notice;
+        let (was_draining, was_leaving) = (incarnation.is_announced && !incarnation.notice.is_ready, incarnation.is_leaving);
+        let WorkerNotice { worker, born, sequence, .. } = incarnation.notice;
         let lease_left = self.worker_lease_left().as_millis();
         self.log(format!(
             "event=worker_lost worker={worker} born={born} cause={} runs={} sign={} answer_age_ms={} lease_left_ms={lease_left}",
@@ -161,7 +193,8 @@
             end.sign,
             self.now.since(self.worker_answered_at).as_millis(),
         ));
-        self.lost_incarnation = Some(LostIncarnation { worker: worker.clone(), born, lost_at: self.now });
+        self.lost_incarnation =
+            Some(LostIncarnation { worker: worker.clone(), born, lost_at: self.now, sequence, was_draining, was_leaving });
         self.incarnation_number += 1;
         let queued = self.runs.select(|record| record.state == RunState::Queued);
         queued.into_iter().for_each(|run| self.finish_run(&run, RunOutcome::Closed, EndSign::NeverSent));
--- a/crates/runs/tests/plan_relay.rs
+++ b/crates/runs/tests/plan_relay.rs
@@ -72,3 +72,18 @@
     assert!(plan.merge(&zones));
     assert_eq!((plan.version().0, plan.zones_out.len()), (1, 1));
 }
+
+// Guards against a zone that is in use again after a restart of an entry that can't reach the store, or that reads it late.
+#[test]
+fn zone_stays_out_after_a_restart() {
+    let zones_out = |entry: &DispatchControl| entry.plan().zones_out.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let mut entry = DispatchControl::new(make_options(0));
+    connect(&mut entry, 2, 1);
+    let plan = SitePlan { zones_out: ["zone-1".parse().expect("a valid name")].into(), zones_revision: 5, ..make_plan(2) };
+    deliver(&mut entry, DispatchEvent::Frame { session: SessionId(2), frame: RunFrame::Plan(Box::new(plan)) });
+    assert_eq!((entry.is_ready(), zones_out(&entry)), (true, vec!["zone-1".to_owned()]));
+    deliver(&mut entry, DispatchEvent::PlanRead(SitePlan { zones_revision: 4, ..make_plan(2) }));
+    assert_eq!(zones_out(&entry), ["zone-1"], "the revision is older");
+    deliver(&mut entry, DispatchEvent::PlanRead(SitePlan { zones_revision: 6, ..make_plan(2) }));
+    assert!(zones_out(&entry).is_empty());
+}
