--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -92,7 +92,8 @@
     fn handle_peer_hello(&mut self, session: SessionId, hello: PeerHello) -> Result<(), FrameRefusal> {
         let line =
             format!("event=peer_found address={} session={session} zone={} incarnation={}", hello.address, hello.zone, hello.incarnation);
-        let (answer, replaced) = self.peer_registry.record_hello(self.now, session, hello)?;
+        let loss_timeout = self.options.lease_terms.agent_loss_timeout();
+        let (answer, replaced) = self.peer_registry.record_hello(self.now, session, hello, loss_timeout)?;
         if let Some(replaced) = replaced {
             self.close_peer(replaced, "replaced");
         }
@@ -101,6 +102,7 @@
             self.send_peer(session, PeerFrame::Hello(answer));
         }
         self.ask_new_peer(session);
+        self.announce_to_new_peer(session);
         Ok(())
     }
 
@@ -122,6 +124,7 @@
         };
         let silence = format_age(Some(self.now.since(link.received_at)));
         if let (Some(address), true) = (link.address(), link.hello.is_some()) {
+            self.lost_peers += 1;
             self.log(format!("event=peer_lost address={address} session={session} cause={cause} silence_ms={silence}"));
         }
         self.release_peer_jobs(session, &link);
@@ -132,6 +135,7 @@
         for session in self.peer_registry.silent_links(self.now, self.resumed_at) {
             self.close_peer(session, "silent");
         }
+        self.forget_gone_peers();
         for address in self.peer_registry.due_dials(self.now) {
             self.actions.push(DispatchAction::Peer(PeerAction::Dial(address)));
         }
@@ -179,6 +183,11 @@
         self.refused_peer_frames
     }
 
+    /// Returns the number of links to peers that were lost after their hello.
+    pub fn lost_peers(&self) -> u64 {
+        self.lost_peers
+    }
+
     /// Returns the number of linked peers.
     pub fn peer_count(&self) -> usize {
         self.peer_registry.linked().count()
