An entry whose list is older than the others asks for resubmissions

Cause: entries that start together read the list before the others have announced themselves. One that the store rejects from then on knows no other entry, counts as alone and admits every resubmission. A paused entry of the bench accepts no session any more.

--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -43,7 +43,14 @@
     pub(super) fn must_ask(&self, id: &CallerJobId, route: &RouteRule, caller_timeout: Option<Duration>) -> bool {
         let age = |timeout| job_age(timeout, route.timeout.to_duration(), self.options.resubmit_after);
         let is_resubmission = caller_timeout.is_some_and(|timeout| !age(timeout).is_zero()) || self.announced_jobs.contains(id);
-        is_resubmission && self.peer_registry.may_have_peers()
+        is_resubmission && (self.peer_registry.may_have_peers() || self.has_unknown_peers())
+    }
+
+    /// Returns whether an agent has sessions with more entries than are known here. The list that was read last may be older than these.
+    fn has_unknown_peers(&self) -> bool {
+        let linked = self.worker_registry.workers().filter(|worker| worker.session.is_some());
+        let sessions = linked.map(|worker| worker.entries as usize).max().unwrap_or_default();
+        sessions > self.peer_registry.known_addresses().count() + 1
     }
 
     /// Makes a caller wait for a claim that exists. Returns whether there is one.
@@ -325,7 +332,10 @@
 
     fn resolve_claims(&mut self) {
         let home_end = |session| self.peer_registry.get(session).map_or(MonoTime::ZERO, |link| self.home_end(link));
-        let states = self.job_homes.claims().map(|(id, claim)| (*id, claim.state(self.now, &self.peer_registry, home_end)));
+        let former_runs_end = self.peer_registry.former_runs_end();
+        let knows_all_peers = self.peer_registry.is_list_read() && !self.has_unknown_peers();
+        let state = |claim: &JobClaim| claim.state(self.now, knows_all_peers, home_end, former_runs_end);
+        let states = self.job_homes.claims().map(|(id, claim)| (*id, state(claim)));
         let due: Vec<(CallerJobId, ClaimState)> = states.filter(|(_, state)| *state != ClaimState::Wait).collect();
         for (id, state) in due {
             match state {
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -257,3 +257,16 @@
     bench.advance(bench.now() + 2_500);
     assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
 }
+
+// Guards against an entry that counts as alone, because it has read the list before the others had announced themselves.
+#[test]
+fn entry_with_an_old_list_starts_no_resubmission() {
+    let mut bench = running(3, 4_000);
+    partition(&mut bench, 1, 3);
+    bench.restart_unlisted(1);
+    bench.list_entries(1, &[1]);
+    bench.advance(bench.now() + 1_200);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 1_300);
+    assert_single_run(&bench);
+}
--- a/crates/runs/tests/support/peer_bench.rs
+++ b/crates/runs/tests/support/peer_bench.rs
@@ -253,7 +253,11 @@
                 self.sessions.remove(&session);
             }
             for entry in 0..self.entries.len() {
-                if dials.contains(&entry_address(entry)) && !self.sessions.values().any(|pair| *pair == (number, entry)) {
+                // A paused entry completes no handshake.
+                if dials.contains(&entry_address(entry))
+                    && !self.entries[entry].is_paused
+                    && !self.sessions.values().any(|pair| *pair == (number, entry))
+                {
                     self.open_session(number, entry);
                 }
             }
