--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -84,7 +84,7 @@
         site = self.site
         listen = {"front": f"{self.ip}:{site.front_port}", "ready": f"{self.ip}:{site.ready_port}",
                   "control": f"{self.ip}:{site.control_port}"}
-        return {"node_name": self.name, "zone": self.zone, "ip": self.ip, "limits": {"cpu_share": 0.25}, "listen": listen,
+        return {"node_name": self.name, "zone": self.zone, "ip": self.ip, "limits": {"cpu_share": 0.25, "memory_mb": 260, "max_fds": 4100}, "listen": listen,
                 "port_range": [site.mesh_port, site.mesh_port], "app": f"{self.ip}:{site.app_port}", "service": site.service,
                 "seeds": [f"{site.mesh_ip(entry)}:{site.control_port}" for entry in site.entries],
                 "platform": {"address": f"{self.ip}:{site.store_port}", "min_ttl_ms": MIN_TTL_MS}, "bounds": BOUNDS}
