Bound what the connections of an HTTP port hold together

Cause: clients ended a process by memory. Each connection was promised 400 KB for a head or for empty lines, 1 MiB for a body at the port for callers and 4 MiB at the one for heartbeats, and nothing bounded their number or their sum. Rocket's ports also had no time limit for a head, and Rocket 0.5 takes no listener that could bound its connections.

Change: `ConnectionGuard` bounds the connections of a port and the bytes that they hold of unanswered requests, by the host's memory and descriptors. When a bound is reached, the connection that has gone longest without beginning or completing a request is closed, so that a newcomer is served; a request that is being handled is not cut, and there is no time limit for a body. An open job counts until its answer; one without room is refused with 503 and Retry-After, and not run. One dump of the state is rendered at a time. Two counters show closed and refused connections.

Processor time was not measured.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod connection_guard;
 mod control_thread;
+mod guarded_server;
 mod host_clock;
 mod http_server;
 mod logging;
@@ -18,7 +20,9 @@
 mod settings_reload;
 mod signals;
 
+pub use connection_guard::{ConnectionGuard, ConnectionSlot, Evicted, GuardLimits};
 pub use control_thread::{spawn_batch_thread, spawn_control_thread, ControlStep, EventBatch, EventSender, PauseSwitch};
+pub use guarded_server::{serve_http, serve_sockets, BodyProblem, GuardedRequest, GuardedStream, RequestBody, ServerOptions};
 pub use host_clock::{unix_millis, SuspensionWatch};
 pub use http_server::{launch_server, server_config, ProblemReply, ServerError};
 pub use logging::{finish_logging, init_command_logging, init_logging};
