Spare connections that hold little when a port runs out of bytes

Cause: the guard closed the oldest connection that holds any bytes. A session, or a small request, could be closed for the large bodies of others, and freed next to nothing.

Change: the guard closes the oldest one that holds at least the mean of those that may be closed.

Result: `small_request_is_not_closed_for_the_bytes_of_large_ones` failed before and passes now, with the other six of `connection_guard`.

--- a/crates/daemon/src/connection_guard.rs
+++ b/crates/daemon/src/connection_guard.rs
@@ -1,7 +1,8 @@
 //! Bounds on what all connections of a port hold together.
 //!
 //! When a bound is reached, the guard closes the connection that has gone longest without beginning or completing a request, so
-//! that a newcomer is served. A connection whose request is being handled is not closed.
+//! that a newcomer is served. For want of bytes it spares those that hold little. A connection whose request is being handled is not
+//! closed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -46,6 +47,8 @@
     /// Number of evicted connections among them.
     leaving: usize,
     held_bytes: usize,
+    /// The part of `held_bytes` that belongs to requests which are being handled.
+    busy_bytes: usize,
     next_turn: u64,
     /// The connections that may be closed, in the order in which they have begun or completed a request.
     waiting: BTreeMap<u64, Arc<SlotShared>>,
@@ -161,10 +164,13 @@
         }
     }
 
-    /// Closes connections that hold bytes until the rest is within the limit or belongs to requests that are being handled.
+    /// Closes connections that hold bytes until the rest is within the limit or belongs to requests that are being handled. Those that
+    /// hold less than the mean are spared.
     fn enforce(&mut self, limit: usize) {
-        while self.held_bytes > limit {
-            let Some(turn) = self.holders.first().copied() else { return };
+        while self.held_bytes > limit && !self.holders.is_empty() {
+            let mean = (self.held_bytes - self.busy_bytes) / self.holders.len();
+            let is_large = |turn: &&u64| self.waiting.get(turn).is_some_and(|slot| lock(&slot.state).held_bytes >= mean);
+            let Some(turn) = self.holders.iter().find(is_large).copied() else { return };
             self.evict(turn);
         }
     }
@@ -232,12 +238,14 @@
         (slot.is_busy, slot.is_receiving, slot.is_discarding) = (true, false, false);
         drop(slot);
         state.held_bytes += bytes;
+        state.busy_bytes += bytes;
         state.enforce(self.guard.limits.held_bytes);
         let fits = state.held_bytes <= self.guard.limits.held_bytes;
         if fits {
             lock(&self.shared.state).held_bytes = bytes;
         } else {
             state.held_bytes -= bytes;
+            state.busy_bytes -= bytes;
         }
         fits
     }
@@ -250,6 +258,9 @@
             return;
         }
         state.held_bytes = state.held_bytes - slot.held_bytes + bytes;
+        if slot.is_busy {
+            state.busy_bytes -= slot.held_bytes;
+        }
         (slot.held_bytes, slot.is_busy, slot.is_receiving, slot.is_discarding) = (bytes, false, false, false);
         let turn = slot.turn;
         drop(slot);
@@ -268,6 +279,9 @@
             state.leaving -= 1;
         } else {
             state.held_bytes -= slot.held_bytes;
+            if slot.is_busy {
+                state.busy_bytes -= slot.held_bytes;
+            }
             state.dequeue(slot.turn);
         }
         self.guard.freed.notify_one();
