Bound what the connections of the mesh port hold together

Cause: a stranger could open any number of connections to an entry's mesh port, with 10,000 streams on each and an unfinished frame of up to 8 MiB on each stream, or a header block of 16 MiB, and leave a handshake open for ever.

Change: the port's connections are admitted by a `ConnectionGuard`, for which a complete frame is a request. A connection has one stream, as all agents and entries use it, and header fields of at most 4 KiB. No frame and no timeout has changed.

--- a/crates/runs-daemon/src/entry_daemon.rs
+++ b/crates/runs-daemon/src/entry_daemon.rs
@@ -1,7 +1,8 @@
 //! The process of an entry for leased runs: its start, its port for adapters, its sessions and its drain.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
@@ -14,10 +15,11 @@
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::SitePlan;
 use vanillacleat_daemon::{
-    install_metrics, spawn_batch_thread, unix_millis, DaemonError, EventSender, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
+    install_metrics, serve_sockets, spawn_batch_thread, unix_millis, ConnectionGuard, ConnectionSlot, DaemonError, EventSender,
+    GuardedStream, PauseSwitch, ProcessHandle, ProcessRuntime, StopSignal,
 };
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, DispatchControl, DispatchEvent, DispatchOptions};
-use vanillacleat_wire::{run_session, serve_listener, session_queue, IncomingStream, SessionStream};
+use vanillacleat_wire::{run_session, serve_session_connection, session_queue, IncomingStream, SessionStream};
 
 use crate::entry_input::EntryInput;
 use crate::entry_loop::{make_frame_event, EntryLoop, EntryStatus};
@@ -117,7 +119,8 @@
         event_sink.set(events.clone());
         let listener = runtime.block_on(TcpListener::bind(settings.mesh_listen)).change_context(DaemonError::Start)?;
         let session_events = events.clone();
-        runtime.handle().spawn(serve_listener(listener, move |stream| serve_stream(stream, session_events.clone())));
+        let serve = move |socket, peer| serve_peer_socket(socket, peer, session_events.clone());
+        runtime.handle().spawn(serve_sockets(listener, "mesh", ConnectionGuard::new(settings.mesh_limits), serve));
         let port = EntryPort { events: events.clone(), status, next_reply: Arc::default() };
         log::info!("event=entry_started entry={} zone={} mesh={}", settings.id, settings.zone, settings.mesh_listen);
         let process = ProcessHandle::new(events, || EntryInput::Stop, pause, thread, runtime);
@@ -160,15 +163,36 @@
     }
 }
 
-fn serve_stream(stream: IncomingStream, events: EventSender<EntryInput>) {
+async fn serve_peer_socket(socket: GuardedStream, peer: SocketAddr, events: EventSender<EntryInput>) {
+    let slot = socket.slot();
+    let served = serve_session_connection(socket, |stream| serve_stream(stream, Arc::downgrade(&slot), events.clone())).await;
+    if let Err(error) = served {
+        log::debug!("event=connection_ended peer={peer} cause={:?}", error.to_string());
+    }
+}
+
+/// Serves a stream. Each frame that it completes marks the connection at `slot` as used.
+fn serve_stream(stream: IncomingStream, slot: Weak<ConnectionSlot>, events: EventSender<EntryInput>) {
     match stream {
-        IncomingStream::Session(session) => drop(tokio::spawn(serve_session(session, events))),
-        IncomingStream::PeerSession(session) => drop(tokio::spawn(serve_peer(session, move |input| events.send(input)))),
+        IncomingStream::Session(session) => drop(tokio::spawn(serve_session(session, slot, events))),
+        IncomingStream::PeerSession(session) => {
+            let send_input = move |input| {
+                complete_frame(&slot);
+                events.send(input);
+            };
+            drop(tokio::spawn(serve_peer(session, send_input)));
+        }
         IncomingStream::Call(_) => log::warn!("event=call_ignored port=mesh"),
     }
 }
 
-async fn serve_session(stream: SessionStream, events: EventSender<EntryInput>) {
+fn complete_frame(slot: &Weak<ConnectionSlot>) {
+    if let Some(slot) = slot.upgrade() {
+        slot.finish_answer(0);
+    }
+}
+
+async fn serve_session(stream: SessionStream, slot: Weak<ConnectionSlot>, events: EventSender<EntryInput>) {
     let Ok((sender, receiver)) = stream.open() else {
         return;
     };
@@ -178,7 +202,11 @@
     let Ok(session) = session.await else {
         return;
     };
-    let cause = run_session(sender, receiver, unsent_frames, |frame| events.send(make_frame_event(session, frame))).await;
+    let handle_frame = |frame| {
+        complete_frame(&slot);
+        events.send(make_frame_event(session, frame));
+    };
+    let cause = run_session(sender, receiver, unsent_frames, handle_frame).await;
     log::debug!("event=session_ended session={session} cause={:?}", cause.to_string());
     events.send(EntryInput::Event(DispatchEvent::SessionClosed(session)));
 }
--- a/crates/runs-daemon/src/run_settings.rs
+++ b/crates/runs-daemon/src/run_settings.rs
@@ -6,6 +6,7 @@
 use vanillacleat_core::errors::{setting_error, Result};
 use vanillacleat_core::ids::{AgentId, EntryId, ZoneName};
 use vanillacleat_core::units::Millis;
+use vanillacleat_daemon::GuardLimits;
 use vanillacleat_runs::LeaseTerms;
 
 /// Part of the grace period that is reserved for the exit of the process after the drain, in milliseconds.
@@ -81,6 +82,9 @@
     /// Times from which the durations of the leases and of a drain are computed.
     #[serde(default)]
     pub leases: LeaseSettings,
+    /// Bounds of the port for agents and other entries.
+    #[serde(default)]
+    pub mesh_limits: GuardLimits,
 }
 
 /// Settings of an agent.
--- a/crates/runs-daemon/tests/entry_exit.rs
+++ b/crates/runs-daemon/tests/entry_exit.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use vanillacleat_core::caller_job::JobStep;
 use vanillacleat_core::units::Millis;
+use vanillacleat_daemon::GuardLimits;
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, JobDraft, RequestKind};
 use vanillacleat_runs_daemon::{LeaseSettings, RunsEntry, RunsEntrySettings};
 
@@ -32,6 +33,7 @@
         zone: "zone-0".parse().expect("a valid name"),
         mesh_listen: mesh_address,
         leases: LeaseSettings::default(),
+        mesh_limits: GuardLimits::default(),
     };
     let entry = RunsEntry::start(&settings).expect("the entry starts");
     let port = entry.port();
--- a/crates/runs-daemon/tests/entry_links.rs
+++ b/crates/runs-daemon/tests/entry_links.rs
@@ -8,6 +8,7 @@
 use vanillacleat_core::caller_job::JobStep;
 use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::units::Millis;
+use vanillacleat_daemon::GuardLimits;
 use vanillacleat_runs::entry::{CallerAnswer, CallerRequest, JobDraft, JobPhase, RequestKind};
 use vanillacleat_runs_daemon::{EntryPort, LeaseSettings, RunsEntry, RunsEntrySettings};
 
@@ -39,6 +40,7 @@
             zone: "zone-0".parse().expect("a valid name"),
             mesh_listen: *address,
             leases: LeaseSettings::default(),
+            mesh_limits: GuardLimits::default(),
         };
         let entry = RunsEntry::start(&settings).expect("the entry starts");
         entry.port().update_plan(make_plan());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,7 +16,7 @@
 pub use client::{OpenSession, WireConnection};
 pub use codec::{decode_body, encode_frame, FrameBuffer, FRAME_BYTES_MAX};
 pub use errors::WireError;
-pub use server::{serve_connection, serve_listener, CallStream, IncomingStream, SessionStream};
+pub use server::{serve_connection, serve_listener, serve_session_connection, CallStream, IncomingStream, SessionStream};
 pub use session::{run_session, session_queue, SessionQueue, UnsentFrames};
 pub use streams::{FrameReceiver, FrameSender};
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::errors::{closed_error, WireError};
@@ -18,6 +19,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of concurrent streams of one connection.
 const STREAMS_MAX: u32 = 10_000;
+/// Maximum size of a stream's header fields, in bytes. The peers' own take less than 200.
+const HEADER_BYTES_MAX: u32 = 4 * 1_024;
 
 /// A session that an agent or another entry requested and that is not open yet.
 #[derive(Debug)]
@@ -85,10 +88,27 @@
 
 /// Serves a connection until it is closed and passes each incoming stream to `handle_stream`. A stream with an unknown
 /// path is answered with status 404 and does not affect the other streams.
-pub async fn serve_connection(socket: TcpStream, mut handle_stream: impl FnMut(IncomingStream)) -> Result<(), WireError> {
+pub async fn serve_connection(socket: TcpStream, handle_stream: impl FnMut(IncomingStream)) -> Result<(), WireError> {
     socket.set_nodelay(true).map_err(closed_error)?;
+    serve_streams(socket, STREAMS_MAX, handle_stream).await
+}
+
+/// Serves a connection like [`serve_connection`], of which each has one session.
+pub async fn serve_session_connection(
+    socket: impl AsyncRead + AsyncWrite + Unpin,
+    handle_stream: impl FnMut(IncomingStream),
+) -> Result<(), WireError> {
+    serve_streams(socket, 1, handle_stream).await
+}
+
+async fn serve_streams(
+    socket: impl AsyncRead + AsyncWrite + Unpin,
+    streams_max: u32,
+    mut handle_stream: impl FnMut(IncomingStream),
+) -> Result<(), WireError> {
     let mut builder = h2::server::Builder::new();
-    builder.initial_window_size(STREAM_WINDOW).initial_connection_window_size(CONNECTION_WINDOW).max_concurrent_streams(STREAMS_MAX);
+    builder.initial_window_size(STREAM_WINDOW).initial_connection_window_size(CONNECTION_WINDOW).max_concurrent_streams(streams_max);
+    builder.max_header_list_size(HEADER_BYTES_MAX);
     let mut connection = builder.handshake(socket).await.map_err(closed_error)?;
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted.map_err(closed_error)?;
