Let evicted connections free their memory before others receive

Cause: bytes of an evicted connection stopped counting at once, but its task frees them only at its next turn. Meanwhile the other connections of the port received up to a read buffer each. In a trial with the limits of the smallest usual host (160 MB, 4,100 descriptors) and 5,000 clients, the peak was 156 MB, with a bound of 20 MB for what a port holds.

Change: while evicted connections hold more than a quarter of the port's bytes, nothing is received.

`evicted_bytes_hold_others_up_until_they_are_freed` is new.

--- a/crates/daemon/src/connection_guard.rs
+++ b/crates/daemon/src/connection_guard.rs
@@ -10,6 +10,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+/// Fraction of a port's bytes that evicted connections may hold while others receive.
+const BACKLOG_DIVISOR: usize = 4;
+
 /// Bounds of a port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -46,6 +49,8 @@
     open: usize,
     /// Number of evicted connections among them.
     leaving: usize,
+    /// Number of bytes that the evicted connections still hold.
+    leaving_bytes: usize,
     held_bytes: usize,
     /// The part of `held_bytes` that belongs to requests which are being handled.
     busy_bytes: usize,
@@ -73,6 +78,8 @@
     /// Whether a request is being handled.
     is_busy: bool,
     is_evicted: bool,
+    /// Number of bytes that the connection held when it was evicted.
+    leaving_bytes: usize,
 }
 
 /// An admitted connection. Dropping the last clone of its `Arc` frees its place.
@@ -159,7 +166,9 @@
             self.leaving += 1;
             let mut slot = lock(&shared.state);
             slot.is_evicted = true;
-            self.held_bytes -= std::mem::take(&mut slot.held_bytes);
+            slot.leaving_bytes = std::mem::take(&mut slot.held_bytes);
+            self.held_bytes -= slot.leaving_bytes;
+            self.leaving_bytes += slot.leaving_bytes;
             shared.evicted.notify_one();
         }
     }
@@ -187,6 +196,11 @@
         lock(&self.shared.state).is_evicted
     }
 
+    /// Returns whether evicted connections still hold so much that nothing should be received until they are closed.
+    pub fn has_backlog(&self) -> bool {
+        lock(&self.guard.state).leaving_bytes > self.guard.limits.held_bytes / BACKLOG_DIVISOR
+    }
+
     /// Counts received bytes until the request is complete. Fails if the connection has to be closed.
     pub fn hold(&self, bytes: usize) -> Result<(), Evicted> {
         let mut state = lock(&self.guard.state);
@@ -277,6 +291,7 @@
         state.open -= 1;
         if slot.is_evicted {
             state.leaving -= 1;
+            state.leaving_bytes -= slot.leaving_bytes;
         } else {
             state.held_bytes -= slot.held_bytes;
             if slot.is_busy {
--- a/crates/daemon/src/guarded_server.rs
+++ b/crates/daemon/src/guarded_server.rs
@@ -182,6 +182,10 @@
 
 impl AsyncRead for GuardedStream {
     fn poll_read(mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.slot.has_backlog() {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
         let received = buffer.filled().len() - filled;
--- a/crates/daemon/tests/connection_guard.rs
+++ b/crates/daemon/tests/connection_guard.rs
@@ -60,6 +60,16 @@
     assert_eq!((slots[0].hold(1), slots[1].hold(1), slots[2].hold(1)), (Ok(()), Err(Evicted), Ok(())));
 }
 
+// Guards against memory that others fill while evicted connections still have theirs.
+#[tokio::test]
+async fn evicted_bytes_hold_others_up_until_they_are_freed() {
+    let (_guard, mut slots) = fill_guard(GuardLimits { connections: 2, held_bytes: 100 }).await;
+    assert_eq!((slots[0].hold(90), slots[1].hold(90)), (Ok(()), Ok(())));
+    assert!(slots[1].has_backlog());
+    drop(slots.remove(0));
+    assert!(!slots[0].has_backlog());
+}
+
 #[tokio::test]
 async fn single_request_over_the_bound_is_closed() {
     let (_guard, slots) = fill_guard(GuardLimits { connections: 1, held_bytes: 100 }).await;
