An agent dials an entry again whose session it had retired

Seen by callers: nothing yet; an agent would be left with fewer entries than it selects. Cause: since the dialer keeps an address until its session has ended, but an agent that closed the session of an entry which it no longer selected didn't tell the dialer. Selected again, the entry counted as connected and was never dialed. Change: the end of a retired session is recorded as a disconnect. Result: unreachable_entries::entry_whose_session_was_retired_is_dialed_again failed before and passes.

--- a/crates/runs/src/agent/runner/reporting.rs
+++ b/crates/runs/src/agent/runner/reporting.rs
@@ -216,11 +216,12 @@
             // The entry has answered the report that the agent is closed. A start that it sent before is usually here by now;
             // the run of one that is not is placed again once the lease of the session has ended.
             if lease.is_retiring && lease.reported_closed && lease.is_answered() && is_idle {
-                retired.push(*session);
+                retired.push((*session, lease.address.clone()));
             }
         }
-        for session in retired {
+        for (session, address) in retired {
             self.actions.push(RunnerAction::Close(session));
+            self.selection.dialer.record_disconnected(&address, self.now, &mut self.rng);
             self.remove_session(session, "not_selected");
         }
     }
--- a/crates/runs/tests/unreachable_entries.rs
+++ b/crates/runs/tests/unreachable_entries.rs
@@ -65,3 +65,50 @@
     let (found, real) = find_entries(odd, odd_zone, 15_000);
     assert_eq!(found, real);
 }
+
+/// Opens the sessions that an agent dials and closes those that it closes, until `end`. Entries that `is_reachable` rejects fail.
+fn run_sessions(bench: &mut AgentBench, open: &mut BTreeMap<SmolStr, SessionId>, end: u64, is_reachable: impl Fn(&SmolStr) -> bool) {
+    let mut last = 1_000 + bench.dials.len() as u64 + open.values().map(|session| session.0).max().unwrap_or_default();
+    for at in (bench.now()..end).step_by(DIAL_TIME as usize) {
+        bench.advance(at + DIAL_TIME);
+        for session in std::mem::take(&mut bench.closed_sessions) {
+            let closed = open.iter().find(|(_, open)| **open == session).map(|(address, _)| address.clone());
+            if let Some(address) = closed {
+                open.remove(&address);
+                bench.deliver(RunnerEvent::SessionClosed { session: Some(session), address });
+            }
+        }
+        for address in std::mem::take(&mut bench.dials) {
+            if is_reachable(&address) {
+                last += 1;
+                open.insert(address.clone(), SessionId(last));
+                bench.answering.insert(SessionId(last));
+                bench.deliver(RunnerEvent::SessionOpened { session: SessionId(last), address });
+            } else {
+                bench.deliver(RunnerEvent::SessionClosed { session: None, address });
+            }
+        }
+    }
+}
+
+// Guards against an entry that is not dialed any more, because the agent has closed its session while other entries were preferred.
+#[test]
+fn entry_whose_session_was_retired_is_dialed_again() {
+    let mut bench = AgentBench::settled(1);
+    let small: Vec<EntryRecord> = (0..12).map(|host| record(format_smolstr!("small-{host}"), "zone-0", 250)).collect();
+    let large = (0..12).map(|host| record(format_smolstr!("large-{host}"), "zone-0", 1_000_000));
+    let all: Vec<EntryRecord> = small.iter().cloned().chain(large).collect();
+    let mut open = BTreeMap::new();
+    bench.deliver(RunnerEvent::EntriesRead(small));
+    run_sessions(&mut bench, &mut open, 5_000, |_| true);
+    assert_eq!(open.len(), 12);
+    bench.deliver(RunnerEvent::EntriesRead(all));
+    run_sessions(&mut bench, &mut open, 15_000, |_| true);
+    let count_small = |open: &BTreeMap<SmolStr, SessionId>| open.keys().filter(|address| address.starts_with("small")).count();
+    assert_eq!((open.len(), count_small(&open)), (12, 0));
+    for (address, session) in std::mem::take(&mut open) {
+        bench.deliver(RunnerEvent::SessionClosed { session: Some(session), address });
+    }
+    run_sessions(&mut bench, &mut open, 40_000, |address| address.starts_with("small"));
+    assert_eq!(count_small(&open), 12);
+}
