An announcement answers no question

Seen by callers: two runs of a task could overlap after a link had broken twice. Found by the review. Cause: an announcement of a job that was being asked for counted as the answer to the question. The peer had not received the question, so that it held no lease for the asking entry; that entry waited for the end of this lease and started the job. Change: announcements are reports of their own with a clock of zero, and are only recorded. Result: peer_links::announcement_answers_no_question fails if such reports are handled as answers, and passes.

--- a/crates/runs/src/entry/dispatch/announcing.rs
+++ b/crates/runs/src/entry/dispatch/announcing.rs
@@ -7,7 +7,7 @@
 
 use vanillacleat_control::SessionId;
 use vanillacleat_core::caller_job::CallerJobId;
-use vanillacleat_core::peer_frames::HeldState;
+use vanillacleat_core::peer_frames::JobReport;
 
 use super::DispatchControl;
 
@@ -36,6 +36,16 @@
     }
 
     fn announce_to(&mut self, session: SessionId, jobs: &[CallerJobId]) {
-        jobs.iter().for_each(|job| self.push_report(session, *job, HeldState::Open));
+        jobs.iter().for_each(|job| self.push_announcement(session, *job));
+    }
+
+    /// Records the jobs that a peer has announced. One that is open here as well runs at both entries.
+    pub(super) fn record_announcements(&mut self, reports: &[JobReport]) {
+        for JobReport { job, .. } in reports {
+            self.announced_jobs.record(self.now, *job);
+            if self.job_table.get(job).is_some() {
+                self.log(format!("event=job_open_twice job={job}"));
+            }
+        }
     }
 }
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -27,12 +27,17 @@
 /// Gap between two events above which the peers' answers may wait unread.
 const ANSWER_GAP_MAX: Duration = Duration::from_millis(50);
 
+/// Clock of reports that announce jobs: nobody has asked for them, and they answer no question. No process sends frames in its first
+/// millisecond.
+const ANNOUNCED: Millis = Millis(0);
+
 /// Frames about jobs that wait to be sent, by link.
 #[derive(Debug, Default)]
 pub(super) struct PeerOutbox {
     queries: BTreeMap<SessionId, Vec<JobQuery>>,
     queries_sent_at: MonoTime,
     reports: BTreeMap<SessionId, Vec<JobReport>>,
+    announcements: BTreeMap<SessionId, Vec<JobReport>>,
     withdrawals: BTreeMap<SessionId, Vec<CallerJobId>>,
     takeovers: BTreeMap<SessionId, Vec<CallerJobId>>,
 }
@@ -117,6 +122,7 @@
         }
         match frame {
             PeerFrame::Queries(queries) => queries.iter().for_each(|query| self.answer_query(session, query)),
+            PeerFrame::Reports(JobReports { clock: ANNOUNCED, reports }) => self.record_announcements(&reports),
             PeerFrame::Reports(JobReports { clock, reports }) => {
                 self.peer_registry.record_clock(self.now, session, clock);
                 reports.iter().for_each(|report| self.handle_job_report(session, report));
@@ -134,7 +140,11 @@
         }
     }
 
-    pub(super) fn push_report(&mut self, session: SessionId, job: CallerJobId, state: HeldState) {
+    pub(super) fn push_announcement(&mut self, session: SessionId, job: CallerJobId) {
+        self.peer_outbox.announcements.entry(session).or_default().push(JobReport { job, state: HeldState::Open });
+    }
+
+    fn push_report(&mut self, session: SessionId, job: CallerJobId, state: HeldState) {
         self.peer_outbox.reports.entry(session).or_default().push(JobReport { job, state });
     }
 
@@ -182,7 +192,7 @@
         let incarnation = link.and_then(|link| link.hello.as_ref()).map(|hello| hello.incarnation);
         let address = link.and_then(PeerLink::address).cloned().unwrap_or_default();
         let Some(claim) = self.job_homes.claim_mut(&id) else {
-            return self.handle_unclaimed_report(session, report);
+            return self.handle_late_report(session, report);
         };
         let Some(known) = claim.peers.get(session) else {
             return;
@@ -206,17 +216,13 @@
         }
     }
 
-    /// Handles a report for a job that is not claimed: the peer announces it, or it answers too late. The work of a home that was too late
-    /// is given up, because it may have stopped meanwhile.
-    fn handle_unclaimed_report(&mut self, session: SessionId, report: &JobReport) {
+    /// Handles a report for a job that is not claimed any more: its callers were answered, or the peer has answered too late and the
+    /// job was placed here. The work of a home that was too late is given up, because it may have stopped meanwhile.
+    fn handle_late_report(&mut self, session: SessionId, report: &JobReport) {
         if report.state != HeldState::Open {
             return;
         }
-        self.announced_jobs.record(self.now, report.job);
         let is_open = self.job_table.get(&report.job).is_some();
-        if !is_open && !self.job_homes.was_claimed(&report.job) {
-            return;
-        }
         self.log(format!("event=job_report_late job={} session={session} open={is_open}", report.job));
         let outbox = if is_open { &mut self.peer_outbox.takeovers } else { &mut self.peer_outbox.withdrawals };
         outbox.entry(session).or_default().push(report.job);
@@ -417,6 +423,8 @@
         }
         let reports = split_items(&mut outbox.reports);
         frames.extend(reports.map(|(session, reports)| (session, PeerFrame::Reports(JobReports { clock, reports }))));
+        let announced = split_items(&mut outbox.announcements);
+        frames.extend(announced.map(|(session, reports)| (session, PeerFrame::Reports(JobReports { clock: ANNOUNCED, reports }))));
         frames.extend(split_items(&mut outbox.withdrawals).map(|(session, jobs)| (session, PeerFrame::Withdrawals(jobs))));
         frames.extend(split_items(&mut outbox.takeovers).map(|(session, jobs)| (session, PeerFrame::Takeovers(jobs))));
         for (session, frame) in frames {
@@ -454,6 +462,7 @@
     fn remove(&mut self, session: SessionId) {
         self.queries.remove(&session);
         self.reports.remove(&session);
+        self.announcements.remove(&session);
         self.withdrawals.remove(&session);
         self.takeovers.remove(&session);
     }
--- a/crates/runs/src/entry/homes/job_homes.rs
+++ b/crates/runs/src/entry/homes/job_homes.rs
@@ -16,7 +16,6 @@
 use vanillacleat_core::units::MonoTime;
 
 use super::peer_registry::{PeerRegistry, HOLDING_LEASE};
-use super::recent_jobs::RecentJobs;
 
 /// Maximum number of claims. Resubmissions beyond it are not admitted.
 const CLAIMS_MAX: usize = 4_096;
@@ -146,8 +145,6 @@
     last_remote: u64,
     /// The jobs of which no task is started, because a remote waiter is not confirmed.
     unconfirmed: BTreeSet<CallerJobId>,
-    /// The jobs that were claimed and are no more.
-    former_claims: RecentJobs,
     /// Whether a claim may have changed since this was last taken.
     pub is_changed: bool,
     /// Number of claims so far.
@@ -257,18 +254,12 @@
     /// Removes a claim.
     pub fn take_claim(&mut self, id: &CallerJobId) -> Option<JobClaim> {
         let claim = self.claims.remove(id)?;
-        self.former_claims.record(claim.claimed_at, *id);
         for waiter in &claim.waiters {
             self.claimants.remove(waiter);
         }
         Some(claim)
     }
 
-    /// Returns whether a job was claimed in the last minutes, so that answers for it may still come.
-    pub fn was_claimed(&self, id: &CallerJobId) -> bool {
-        self.former_claims.contains(id)
-    }
-
     /// Adds a remote waiter, or renews the one that the entry already has. Returns its reply id with whether it is new, or `None` if
     /// there are too many.
     pub fn add_remote(
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -1,8 +1,12 @@
 //! Tests of the links between entries, and of what an entry takes from a peer that it has no link with.
 
 use rstest::rstest;
-use vanillacleat_core::peer_frames::PeerFrame;
-use vanillacleat_runs::entry::{CallerAnswer, DispatchEvent, JobPhase};
+use vanillacleat_control::SessionId;
+use vanillacleat_core::ids::{Incarnation, ProcessStart};
+use vanillacleat_core::peer_frames::{HeldState, JobReport, JobReports, PeerFrame, PeerHello};
+use vanillacleat_core::run_frames::SessionOrder;
+use vanillacleat_core::units::Millis;
+use vanillacleat_runs::entry::{CallerAnswer, DispatchEvent, JobPhase, PeerEvent};
 
 mod support;
 use support::peer_bench::PeerBench;
@@ -270,3 +274,25 @@
     bench.advance(bench.now() + 1_300);
     assert_single_run(&bench);
 }
+
+// Guards against an announcement that counts as the answer to a question, which the peer has not received: it holds no lease for this entry.
+#[test]
+fn announcement_answers_no_question() {
+    let mut bench = running(2, 6_000);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.close_links();
+    bench.advance(bench.now() + 100);
+    let link = SessionId(9_000);
+    let order = SessionOrder { process_start: ProcessStart(0), number: 99 };
+    let hello = PeerHello { address: "entry-0".into(), incarnation: Incarnation(10), order, zone: "zone-0".parse().expect("a valid name") };
+    let reports = vec![JobReport { job: PeerBench::job(CALLER), state: HeldState::Open }];
+    let announcement = PeerFrame::Reports(JobReports { clock: Millis(0), reports });
+    bench.deliver(1, DispatchEvent::Peer(PeerEvent::Opened { session: link, dialed: None }));
+    for frame in [PeerFrame::Hello(hello), announcement] {
+        bench.deliver(1, DispatchEvent::Peer(PeerEvent::Frame { session: link, frame }));
+    }
+    partition(&mut bench, 0, 2);
+    bench.deliver(1, DispatchEvent::Peer(PeerEvent::Closed(link)));
+    bench.advance(bench.now() + 3_000);
+    assert_single_run(&bench);
+}
