A peer knows of an open job whenever its link is opened, and after it has asked for it

Cause: a new peer was told only of jobs that were due to be announced, so that a link that was lost again before then left nothing; one failed redial used up the time until callers come back. An entry that was asked for a job took its first submission, read later, for a first one. Change: all open jobs are announced to a new peer, eight redials keep the first delay, and a question marks the job as submitted elsewhere.

--- a/crates/runs/src/entry/dispatch/announcing.rs
+++ b/crates/runs/src/entry/dispatch/announcing.rs
@@ -29,10 +29,10 @@
         sessions.into_iter().for_each(|session| self.announce_to(session, &due));
     }
 
-    /// Announces to a new peer the jobs that the others know.
+    /// Announces all open jobs to a new peer. The link may be lost again before they are due.
     pub(super) fn announce_to_new_peer(&mut self, session: SessionId) {
-        let announced: Vec<CallerJobId> = self.job_table.announced_jobs().collect();
-        self.announce_to(session, &announced);
+        let open: Vec<CallerJobId> = self.job_table.jobs().map(|job| job.job.id).collect();
+        self.announce_to(session, &open);
     }
 
     fn announce_to(&mut self, session: SessionId, jobs: &[CallerJobId]) {
--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -135,6 +135,8 @@
     }
 
     fn answer_query(&mut self, session: SessionId, query: &JobQuery) {
+        // The first submission may still be on its way to here.
+        self.announced_jobs.record(self.now, query.job);
         if let Some(state) = self.held_state(session, query) {
             self.push_report(session, query.job, state);
         }
--- a/crates/runs/src/entry/homes/peer_registry.rs
+++ b/crates/runs/src/entry/homes/peer_registry.rs
@@ -36,6 +36,8 @@
 pub const SERVICES_MAX: usize = 32;
 /// Delay before the first redial after a failure.
 const REDIAL_MIN: Duration = Duration::from_millis(200);
+/// Number of redials after the first delay. The entry is usually reachable again within them, and callers come back meanwhile.
+const STEADY_REDIALS: u32 = 8;
 /// Maximum delay between redials. Resubmissions wait for the link; an entry that has left is forgotten within some seconds.
 const REDIAL_MAX: Duration = Duration::from_secs(1);
 
@@ -122,7 +124,7 @@
 impl PeerRegistry {
     /// Returns a registry without links. The incarnation seeds the jitter of redials.
     pub fn new(identity: PeerIdentity) -> Self {
-        let dialer = EntryDialer::new(Vec::new()).with_redial(REDIAL_MIN, REDIAL_MAX, 1);
+        let dialer = EntryDialer::new(Vec::new()).with_redial(REDIAL_MIN, REDIAL_MAX, STEADY_REDIALS);
         let rng = ChaCha8Rng::seed_from_u64(identity.incarnation.0);
         let known = KnownPeers::new(identity.address.clone());
         let (links, former_runs_end) = (BTreeMap::new(), MonoTime::ZERO);
--- a/crates/runs/src/entry/jobs/job_table.rs
+++ b/crates/runs/src/entry/jobs/job_table.rs
@@ -105,11 +105,6 @@
         due.collect()
     }
 
-    /// Returns the open jobs that [`Self::take_unannounced`] has returned.
-    pub fn announced_jobs(&self) -> impl Iterator<Item = CallerJobId> + '_ {
-        self.jobs.values().filter(|job| job.is_announced).map(|job| job.job.id)
-    }
-
     /// Returns the final phase of a job that has ended, unless it has been evicted.
     pub fn final_phase(&self, id: &CallerJobId) -> Option<JobPhase> {
         self.final_phases.get(id).copied()
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -211,7 +211,7 @@
 
 // Guards against an announcement that is lost with its link.
 #[rstest]
-fn announced_job_is_known_to_a_peer_that_was_linked_later(#[values(700, 900, 1_100)] reset_at: u64) {
+fn announced_job_is_known_to_a_peer_that_was_linked_later(#[values(100, 300, 700, 900, 1_100)] reset_at: u64) {
     let mut bench = PeerBench::new(3, 4);
     bench.set_run_time(3_000);
     bench.submit(0, CALLER, FIRST);
@@ -223,6 +223,35 @@
     assert_single_run(&bench);
 }
 
+// Guards against an announcement that is not due before the link is lost again for longer.
+#[test]
+fn open_jobs_are_announced_to_a_new_peer_before_they_are_due() {
+    let mut bench = PeerBench::new(2, 4);
+    bench.set_run_time(3_000);
+    bench.submit(0, CALLER, FIRST);
+    bench.advance(bench.now() + 100);
+    bench.close_links();
+    bench.advance(bench.now() + 300);
+    partition(&mut bench, 0, 2);
+    bench.close_links();
+    bench.advance(bench.now() + RESUBMIT_AFTER - 400);
+    bench.submit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 1_500);
+    assert_single_run(&bench);
+}
+
+// Guards against a first submission that is read after a peer has asked for the job and runs it.
+#[test]
+fn first_submission_that_comes_after_a_question_is_asked_for() {
+    let mut bench = PeerBench::new(2, 4);
+    bench.set_run_time(2_000);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 100);
+    bench.submit(0, CALLER, FIRST);
+    bench.advance(bench.now() + 2_500);
+    assert_single_run(&bench);
+}
+
 // Guards against messages for jobs whose callers can't come back yet.
 #[test]
 fn short_job_is_not_announced() {
