Hellos of strangers hold no claim and fill no memory

Cause: each hello from a new address was remembered for ten seconds without a bound and copied into each claim, and the first hello of any process made all claims wait for its former runs. Change: at most 128 entries that are not listed are remembered; further hellos are refused. A new process delays the claims that its address has not answered, and those that come within its loss timeout. Result: peer_links::entries_that_are_not_listed_are_bounded and replaced_processes_hold_no_claim_beyond_a_second failed before and pass.

--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -82,7 +82,7 @@
             unresolved,
             unresolved_since: self.now,
             extensions: 0,
-            blocked_until: MonoTime::ZERO,
+            blocked_until: self.peer_registry.former_runs_end(),
             lost_home: None,
             waiters: Vec::new(),
             peers: PeerAnswers::default(),
@@ -104,6 +104,15 @@
         self.peer_outbox.queries.entry(session).or_default().push(query);
     }
 
+    /// Makes the claims that an entry has not answered wait for the runs of its former process.
+    pub(super) fn await_former_runs(&mut self, session: SessionId) {
+        let former_runs_end = self.peer_registry.former_runs_end();
+        let address = self.peer_registry.get(session).and_then(PeerLink::address).cloned().unwrap_or_default();
+        for (_, claim) in self.job_homes.claims_mut().filter(|(_, claim)| claim.unresolved.contains(&address)) {
+            claim.blocked_until = claim.blocked_until.max(former_runs_end);
+        }
+    }
+
     /// Asks a new peer for all claimed jobs: it may be the home, whose link was lost.
     pub(super) fn ask_new_peer(&mut self, session: SessionId) {
         let ids: Vec<CallerJobId> = self.job_homes.claims().map(|(id, _)| *id).collect();
@@ -343,9 +352,8 @@
 
     fn resolve_claims(&mut self) {
         let home_end = |session| self.peer_registry.get(session).map_or(MonoTime::ZERO, |link| self.home_end(link));
-        let former_runs_end = self.peer_registry.former_runs_end();
         let knows_all_peers = self.peer_registry.is_list_read() && !self.has_unknown_peers();
-        let state = |claim: &JobClaim| claim.state(self.now, knows_all_peers, home_end, former_runs_end);
+        let state = |claim: &JobClaim| claim.state(self.now, knows_all_peers, home_end);
         let states = self.job_homes.claims().map(|(id, claim)| (*id, state(claim)));
         let due: Vec<(CallerJobId, ClaimState)> = states.filter(|(_, state)| *state != ClaimState::Wait).collect();
         for (id, state) in due {
--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -93,11 +93,15 @@
         let line =
             format!("event=peer_found address={} session={session} zone={} incarnation={}", hello.address, hello.zone, hello.incarnation);
         let loss_timeout = self.options.lease_terms.agent_loss_timeout();
+        let former_runs_end = self.peer_registry.former_runs_end();
         let (answer, replaced) = self.peer_registry.record_hello(self.now, session, hello, loss_timeout)?;
         if let Some(replaced) = replaced {
             self.close_peer(replaced, "replaced");
         }
         self.log(line);
+        if self.peer_registry.former_runs_end() > former_runs_end {
+            self.await_former_runs(session);
+        }
         if let Some(answer) = answer {
             self.send_peer(session, PeerFrame::Hello(answer));
         }
--- a/crates/runs/src/entry/homes/job_homes.rs
+++ b/crates/runs/src/entry/homes/job_homes.rs
@@ -153,18 +153,12 @@
 
 impl JobClaim {
     /// Returns what to do at `now`. A home is waited for until `home_end`, when its runs have ended if nothing more is received from it, and
-    /// processes that were replaced until `former_runs_end`.
-    pub fn state(
-        &self,
-        now: MonoTime,
-        knows_all_peers: bool,
-        home_end: impl Fn(SessionId) -> MonoTime,
-        former_runs_end: MonoTime,
-    ) -> ClaimState {
+    /// lost homes and replaced processes until `blocked_until`.
+    pub fn state(&self, now: MonoTime, knows_all_peers: bool, home_end: impl Fn(SessionId) -> MonoTime) -> ClaimState {
         let has_home = self.peers.homes().iter().any(|session| now < home_end(*session));
         if now >= self.abandon_at {
             ClaimState::TimedOut
-        } else if has_home || now < self.blocked_until.max(former_runs_end) {
+        } else if has_home || now < self.blocked_until {
             ClaimState::Wait
         } else if self.unresolved.is_empty() && knows_all_peers {
             ClaimState::RunHere
--- a/crates/runs/src/entry/homes/known_peers.rs
+++ b/crates/runs/src/entry/homes/known_peers.rs
@@ -14,6 +14,9 @@
 /// announces itself again within seconds.
 const UNLISTED_AGE_MAX: Duration = Duration::from_secs(10);
 
+/// Maximum number of known entries that are not listed. The hellos of further ones are refused.
+const UNLISTED_MAX: usize = 128;
+
 /// What is known of an entry.
 #[derive(Clone, Copy, Debug)]
 struct KnownPeer {
@@ -56,6 +59,11 @@
         new
     }
 
+    /// Returns whether an entry that said hello can be remembered.
+    pub fn has_room(&self, address: &SmolStr) -> bool {
+        self.peers.contains_key(address) || self.peers.values().filter(|peer| !peer.is_listed).count() < UNLISTED_MAX
+    }
+
     /// Records the hello of an entry. Returns whether its process is not the one that has last said hello.
     pub fn record_hello(&mut self, now: MonoTime, address: &SmolStr, incarnation: Incarnation) -> bool {
         let unlisted = KnownPeer { is_listed: false, incarnation: None, heard_at: now };
--- a/crates/runs/src/entry/homes/peer_registry.rs
+++ b/crates/runs/src/entry/homes/peer_registry.rs
@@ -90,7 +90,7 @@
     Outdated,
     /// The peer echoed a clock that this entry has not reached.
     FutureEcho,
-    /// The frame has too many items or too long a name, or there are too many links.
+    /// The frame has too many items or too long a name, or there are too many links or entries that are not listed.
     Oversized,
 }
 
@@ -204,7 +204,7 @@
             self.record_own_hello(&hello);
             return Err(FrameRefusal::OwnHello);
         }
-        if hello.address.len() > ADDRESS_BYTES_MAX {
+        if hello.address.len() > ADDRESS_BYTES_MAX || !self.known.has_room(&hello.address) {
             return Err(FrameRefusal::Oversized);
         }
         let earlier = self.linked().find(|(other, link)| *other != session && link.address() == Some(&hello.address));
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -313,12 +313,10 @@
     bench.close_links();
     bench.advance(bench.now() + 100);
     let link = SessionId(9_000);
-    let order = SessionOrder { process_start: ProcessStart(0), number: 99 };
-    let hello = PeerHello { address: "entry-0".into(), incarnation: Incarnation(10), order, zone: "zone-0".parse().expect("a valid name") };
     let reports = vec![JobReport { job: PeerBench::job(CALLER), state: HeldState::Open }];
     let announcement = PeerFrame::Reports(JobReports { clock: Millis(0), reports });
     bench.deliver(1, DispatchEvent::Peer(PeerEvent::Opened { session: link, dialed: None }));
-    for frame in [PeerFrame::Hello(hello), announcement] {
+    for frame in [make_hello("entry-0", 10), announcement] {
         bench.deliver(1, DispatchEvent::Peer(PeerEvent::Frame { session: link, frame }));
     }
     partition(&mut bench, 0, 2);
@@ -347,3 +345,43 @@
     assert_eq!(bench.double_runs.len(), 0, "{:?}", bench.log_lines);
     assert!(matches!(bench.answers_to(THIRD)[..], [CallerAnswer::Abandoned(_)]), "{:?}", bench.answers);
 }
+
+/// Returns the hello of a process at an address, as the first frame of a link.
+fn make_hello(address: &str, incarnation: u64) -> PeerFrame {
+    let order = SessionOrder { process_start: ProcessStart(incarnation), number: 99 };
+    let zone = "zone-0".parse().expect("a valid name");
+    PeerFrame::Hello(PeerHello { address: address.into(), incarnation: Incarnation(incarnation), order, zone })
+}
+
+/// Delivers a hello to entry 1 on a link of its own, which is lost at once.
+fn say_hello(bench: &mut PeerBench, session: u64, address: &str, incarnation: u64) {
+    let session = SessionId(session);
+    let frame = make_hello(address, incarnation);
+    for event in [PeerEvent::Opened { session, dialed: None }, PeerEvent::Frame { session, frame }, PeerEvent::Closed(session)] {
+        bench.deliver(1, DispatchEvent::Peer(event));
+    }
+}
+
+// Guards against claims that grow with hellos from addresses that nobody lists.
+#[test]
+fn entries_that_are_not_listed_are_bounded() {
+    let mut bench = PeerBench::new(3, 2);
+    (0..1_000).for_each(|number| say_hello(&mut bench, 9_000 + number, &format!("stranger-{number}"), 50_000 + number));
+    assert_eq!(bench.entry(1).refused_peer_frames(), 1_000 - 128);
+    assert_eq!(bench.entry(1).peer_count(), 2);
+}
+
+// Guards against a resubmission that is held for as long as processes at other addresses are replaced again and again.
+#[test]
+fn replaced_processes_hold_no_claim_beyond_a_second() {
+    let mut bench = PeerBench::new(3, 2);
+    let start = bench.now();
+    (0..4).for_each(|number| {
+        say_hello(&mut bench, 9_000 + number, &format!("stranger-{number}"), 50_000 + number);
+        if number == 0 {
+            bench.resubmit(1, CALLER, SECOND);
+        }
+        bench.advance(start + 700 * (number + 1));
+    });
+    assert_eq!(bench.answers_to(SECOND).len(), 1, "{:?}", bench.log_lines);
+}
