--- a/crates/runs/src/entry/dispatch/homes.rs
+++ b/crates/runs/src/entry/dispatch/homes.rs
@@ -9,7 +9,6 @@
 use vanillacleat_control::{ReplyId, SessionId};
 use vanillacleat_core::caller_job::{CallerJob, CallerJobId};
 use vanillacleat_core::peer_frames::{HeldState, JobQuery, JobReport, JobReports, JobVerdict, PeerFrame};
-use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::site_plan::RouteRule;
 use vanillacleat_core::units::{Millis, MonoTime};
 
@@ -51,13 +50,6 @@
         is_resubmission && (self.peer_registry.may_have_peers() || self.has_unknown_peers())
     }
 
-    /// Returns whether an agent has sessions with more entries than are known here. The list that was read last may be older than these.
-    fn has_unknown_peers(&self) -> bool {
-        let linked = self.worker_registry.workers().filter(|worker| worker.session.is_some());
-        let sessions = linked.map(|worker| worker.entries as usize).max().unwrap_or_default();
-        sessions > self.peer_registry.known_addresses().count() + 1
-    }
-
     /// Makes a caller wait for a claim that exists. Returns whether there is one.
     pub(super) fn join_claim(&mut self, reply: ReplyId, id: &CallerJobId, caller_timeout: Option<Duration>) -> bool {
         self.job_homes.add_claimant(id, reply, self.now + caller_timeout.unwrap_or_default())
@@ -104,15 +96,6 @@
         self.peer_outbox.queries.entry(session).or_default().push(query);
     }
 
-    /// Makes the claims that an entry has not answered wait for the runs of its former process.
-    pub(super) fn await_former_runs(&mut self, session: SessionId) {
-        let former_runs_end = self.peer_registry.former_runs_end();
-        let address = self.peer_registry.get(session).and_then(PeerLink::address).cloned().unwrap_or_default();
-        for (_, claim) in self.job_homes.claims_mut().filter(|(_, claim)| claim.unresolved.contains(&address)) {
-            claim.blocked_until = claim.blocked_until.max(former_runs_end);
-        }
-    }
-
     /// Asks a new peer for all claimed jobs: it may be the home, whose link was lost.
     pub(super) fn ask_new_peer(&mut self, session: SessionId) {
         let ids: Vec<CallerJobId> = self.job_homes.claims().map(|(id, _)| *id).collect();
@@ -373,24 +356,6 @@
         self.finish_claim(id, CallerAnswer::Abandoned("an entry that may run the job can't be asked"));
     }
 
-    /// Records that an entry is gone, so that it runs nothing.
-    pub(super) fn forget_gone_peers(&mut self) {
-        for address in self.peer_registry.forget_gone(self.now) {
-            self.log(format!("event=peer_forgotten address={address}"));
-            for (_, claim) in self.job_homes.claims_mut() {
-                claim.unresolved.remove(&address);
-            }
-        }
-    }
-
-    /// Records the entries that the store lists. Those that are new may run the claimed jobs.
-    pub(super) fn record_listed_peers(&mut self, entries: &[EntryRecord]) {
-        let now = self.now;
-        for address in self.peer_registry.set_entries(now, entries) {
-            self.job_homes.claims_mut().for_each(|(_, claim)| claim.add_unresolved(now, address.clone()));
-        }
-    }
-
     /// Admits a job that no peer holds, unless this entry has no room for it now.
     fn admit_claim(&mut self, id: &CallerJobId) {
         let Some(claim) = self.job_homes.take_claim(id) else {
--- a/crates/runs/src/entry/dispatch/peers.rs
+++ b/crates/runs/src/entry/dispatch/peers.rs
@@ -8,10 +8,11 @@
 use vanillacleat_control::SessionId;
 use vanillacleat_core::ids::ServiceName;
 use vanillacleat_core::peer_frames::{PeerFrame, PeerHello, PeerLoad, ServiceLoad};
+use vanillacleat_core::run_frames::EntryRecord;
 use vanillacleat_core::units::Millis;
 
 use super::{DispatchAction, DispatchControl};
-use crate::entry::homes::peer_registry::{FrameRefusal, SERVICES_MAX};
+use crate::entry::homes::peer_registry::{FrameRefusal, PeerLink, SERVICES_MAX};
 use crate::entry::order::job_order::queue_wait;
 use crate::log_fields::format_age;
 
@@ -150,6 +151,40 @@
         self.send_pulses();
     }
 
+    /// Returns whether an agent has sessions with more entries than are known here. The list that was read last may be older than these.
+    pub(super) fn has_unknown_peers(&self) -> bool {
+        let linked = self.worker_registry.workers().filter(|worker| worker.session.is_some());
+        let sessions = linked.map(|worker| worker.entries as usize).max().unwrap_or_default();
+        sessions > self.peer_registry.known_addresses().count() + 1
+    }
+
+    /// Makes the claims that an entry has not answered wait for the runs of its former process.
+    fn await_former_runs(&mut self, session: SessionId) {
+        let former_runs_end = self.peer_registry.former_runs_end();
+        let address = self.peer_registry.get(session).and_then(PeerLink::address).cloned().unwrap_or_default();
+        for (_, claim) in self.job_homes.claims_mut().filter(|(_, claim)| claim.unresolved.contains(&address)) {
+            claim.blocked_until = claim.blocked_until.max(former_runs_end);
+        }
+    }
+
+    /// Records that an entry is gone, so that it runs nothing.
+    fn forget_gone_peers(&mut self) {
+        for address in self.peer_registry.forget_gone(self.now) {
+            self.log(format!("event=peer_forgotten address={address}"));
+            for (_, claim) in self.job_homes.claims_mut() {
+                claim.unresolved.remove(&address);
+            }
+        }
+    }
+
+    /// Records the entries that the store lists. Those that are new may run the claimed jobs.
+    pub(super) fn record_listed_peers(&mut self, entries: &[EntryRecord]) {
+        let now = self.now;
+        for address in self.peer_registry.set_entries(now, entries) {
+            self.job_homes.claims_mut().for_each(|(_, claim)| claim.add_unresolved(now, address.clone()));
+        }
+    }
+
     pub(super) fn send_pulses(&mut self) {
         let holding = self.job_homes.holding_sessions();
         for (session, pulse) in self.peer_registry.due_pulses(self.now, &self.own_load, |session| holding.contains(&session)) {
