Only a list that names the entry itself is a whole one

Cause: entries that start together read the list before the others have announced themselves. 1.6 s later, before the next read and before an agent had reported its sessions, one of them admitted a resubmission: job_asked peers=0 unlinked=0. Change: until an entry has read a list with itself on it, it may not know all that may run a job. Result: peer_links::list_without_the_entry_itself_proves_nothing failed before and passes; the tests of the crate pass.

--- a/crates/runs/src/entry/homes/known_peers.rs
+++ b/crates/runs/src/entry/homes/known_peers.rs
@@ -33,7 +33,7 @@
     peers: BTreeMap<SmolStr, KnownPeer>,
     /// Addresses that lead to this entry itself.
     own_addresses: Vec<SmolStr>,
-    /// Whether a list of the platform's store was read.
+    /// Whether a list of the platform's store was read that names this entry. An earlier one may lack others that have started with it.
     is_list_read: bool,
 }
 
@@ -45,10 +45,11 @@
 
     /// Records the addresses that the platform's store lists. Returns those that were not known.
     pub fn record_list(&mut self, now: MonoTime, listed: impl Iterator<Item = SmolStr>) -> Vec<SmolStr> {
-        self.is_list_read = true;
+        let listed: Vec<SmolStr> = listed.collect();
+        self.is_list_read |= listed.iter().any(|address| self.own_addresses.contains(address));
         self.peers.values_mut().for_each(|peer| peer.is_listed = false);
         let mut new = Vec::new();
-        for address in listed.filter(|address| !self.own_addresses.contains(address)) {
+        for address in listed.into_iter().filter(|address| !self.own_addresses.contains(address)) {
             if let Some(peer) = self.peers.get_mut(&address) {
                 peer.is_listed = true;
             } else {
@@ -100,7 +101,7 @@
         self.peers.keys()
     }
 
-    /// Returns whether a list of the platform's store was read. Before that, other entries may be unknown.
+    /// Returns whether a list of the platform's store was read that names this entry. Before that, other entries may be unknown.
     pub fn is_list_read(&self) -> bool {
         self.is_list_read
     }
--- a/crates/runs/tests/peer_links.rs
+++ b/crates/runs/tests/peer_links.rs
@@ -385,3 +385,17 @@
     });
     assert_eq!(bench.answers_to(SECOND).len(), 1, "{:?}", bench.log_lines);
 }
+
+// Guards against an entry that counts as alone, because it has read the list before any entry had announced itself, and agents have not
+// reported their sessions yet.
+#[test]
+fn list_without_the_entry_itself_proves_nothing() {
+    let mut bench = running(3, 4_000);
+    partition(&mut bench, 1, 3);
+    bench.restart_unlisted(1);
+    bench.list_entries(1, &[]);
+    bench.resubmit(1, CALLER, SECOND);
+    bench.advance(bench.now() + 1_100);
+    assert_single_run(&bench);
+    assert!(matches!(bench.answers_to(SECOND)[..], [CallerAnswer::Abandoned(_)]), "{:?}", bench.answers);
+}
