--- a/review/standins-2/late_start.rs
+++ b/review/standins-2/late_start.rs
@@ -26,7 +26,7 @@
             return Err(format!("a job before the disruption was not served: {answer:?}"));
         }
     }
-    let path = "/lohu930/5c0e7a21d94b36f8";
+    let path = "/lohu930/5c0e7a21d94b36fd";
     let body =
         "{\"spec\":\"ms=8000 cpu=3100\",\"best_effort\":true,\"steps\":[{\"count\":1,\"cpu\":3100,\"mem_mb\":64,\"estimate_ms\":8000}]}";
     let headers = [("Host", HOST.to_owned()), ("Deadline-Ms", DEADLINE.as_millis().to_string())];
--- a/review/standins-2/twice.rs
+++ b/review/standins-2/twice.rs
@@ -20,7 +20,7 @@
     let second = std::env::var("SECOND").unwrap_or_default();
     let plan = config(7, vec![route("r-1", HOST, "/lohu930/", "huvo11a")], &["huvo11a"]);
     let site = Site::start(3, &["huvo11a"; 6], &plan, record)?;
-    let path = "/lohu930/5c0e7a21d94b36f8";
+    let path = "/lohu930/5c0e7a21d94b36fd";
     let body =
         "{\"spec\":\"ms=6000 cpu=3100\",\"best_effort\":true,\"steps\":[{\"count\":2,\"cpu\":3100,\"mem_mb\":64,\"estimate_ms\":6000}]}";
     let headers = [("Host", HOST.to_owned()), ("Deadline-Ms", DEADLINE.as_millis().to_string())];
