Add review case 11: agents run out of memory under a few wide jobs

Cause: nothing bounds the calls to a worker that are open at once. All tasks of a job go to one worker, each start gets a channel of its own, is sent again while it waits, and is stopped again and again after it has been abandoned.

Change: the case, a worker as a program of its own for it, and its build.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,15 +1,17 @@
 #!/usr/bin/env bash
-# Prepares the stand-ins of the cases 11 to 15. They are Python programs that use the standard library only, so nothing is compiled:
-# this checks that they can be read by the machine's Python.
+# Builds the stand-ins of the third review's scripts into target/review-3. Needs the Rust compiler of the project and Python, and no network.
+# But for the worker of case 11 the stand-ins are Python programs of the standard library: this checks that they can be read.
 set -euo pipefail
-cd "$(dirname "$0")"
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+rustc --edition 2021 -O -o target/review-3/worker review/standins-3/worker.rs
 python3 - <<'CHECK'
 import glob
 import sys
 
 if sys.version_info < (3, 9):
     sys.exit("Python 3.9 or later is needed")
-for path in sorted(glob.glob("standins-3/*.py") + glob.glob("1[1-5]/case.py")):
+for path in sorted(glob.glob("review/standins-3/*.py") + glob.glob("review/1[1-5]/case.py")):
     with open(path, encoding="utf-8") as file:
         compile(file.read(), path, "exec")
 CHECK
